--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/app/caller_request.cc
@@ -0,0 +1,161 @@
+#include "app/caller_request.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+#include "core/shard_map.h"
+
+namespace sycamorestall {
+
+namespace {
+
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::string_view kKeysInfix = "/keys/";
+constexpr std::size_t kLongestKey = 512;
+constexpr std::size_t kLongestCustomer = 128;
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kMethodNotAllowed = 405;
+constexpr std::uint16_t kTooLarge = 413;
+
+Answer Refuse(std::uint16_t status, const std::string& reason, const std::string& message) {
+  return MakeRefusal(status, Outcome::kNotRun, reason, message);
+}
+
+// Reads the caller's patience; an answer says what is wrong with it.
+std::optional<Answer> ReadTimeout(const http::Request& request, const ServiceSettings& service,
+                                  std::chrono::milliseconds& timeout) {
+  timeout = service.default_timeout;
+  const std::string* text = request.header("Sycamorestall-Timeout-Ms");
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const char* end = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), end, value);
+  const bool fits = parsed.ec == std::errc{} && parsed.ptr == end && value > 0 &&
+                    value <= service.max_timeout.count();
+  if (!fits) {
+    return Refuse(kBadRequest, "bad-timeout",
+                  "Sycamorestall-Timeout-Ms must be a whole number from 1 to " +
+                      std::to_string(service.max_timeout.count()));
+  }
+  timeout = std::chrono::milliseconds{value};
+  return std::nullopt;
+}
+
+// Reads the idempotency key where the service asks for one.
+std::optional<Answer> ReadCommand(const http::Request& request, const ServiceSettings& service,
+                                  std::optional<UuidV7>& command) {
+  if (service.idempotent || request.method == http::Method::kGet) {
+    return std::nullopt;
+  }
+  const std::string* text = request.header("Idempotency-Key");
+  if (text == nullptr) {
+    return Refuse(kBadRequest, "idempotency-key-missing",
+                  "requests that change state need an Idempotency-Key with a UUID of version 7");
+  }
+  command = ParseUuidV7(*text);
+  if (!command) {
+    return Refuse(kBadRequest, "idempotency-key-bad",
+                  "the Idempotency-Key must be a UUID of version 7");
+  }
+  return std::nullopt;
+}
+
+// The service and the encoded key of a path; empty when it has another form.
+struct PathParts {
+  std::string service;
+  std::string_view key;
+};
+
+std::optional<PathParts> SplitPath(std::string_view path) {
+  if (!path.starts_with(kServicesPrefix)) {
+    return std::nullopt;
+  }
+  path.remove_prefix(kServicesPrefix.size());
+  const std::size_t infix = path.find(kKeysInfix);
+  if (infix == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return PathParts{std::string(path.substr(0, infix)), path.substr(infix + kKeysInfix.size())};
+}
+
+}  // namespace
+
+Answer MakeRefusal(std::uint16_t status, Outcome outcome, const std::string& reason,
+                   const std::string& message) {
+  Answer answer;
+  answer.outcome = outcome;
+  answer.status = status;
+  answer.reason = reason;
+  answer.content_type = "application/json";
+  const nlohmann::json body{{"error", {{"code", reason}, {"message", message}}}};
+  answer.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  return answer;
+}
+
+http::Response MakeResponse(Answer answer) {
+  http::Response response;
+  response.status = answer.status;
+  response.content_type = std::move(answer.content_type);
+  response.body = std::move(answer.body);
+  response.headers.push_back({"Sycamorestall-Outcome", ToString(answer.outcome)});
+  if (answer.retry_after_s > 0) {
+    response.headers.push_back({"Retry-After", std::to_string(answer.retry_after_s)});
+  }
+  return response;
+}
+
+std::variant<CallerRequest, Answer> ParseCallerRequest(const http::Request& request,
+                                                       std::uint64_t body_bytes,
+                                                       const Settings& settings) {
+  const std::optional<PathParts> parts = SplitPath(request.path);
+  if (!parts) {
+    return Refuse(kNotFound, "unknown-path", "the path must be /v1/services/SERVICE/keys/KEY");
+  }
+  if (request.method == http::Method::kOther) {
+    return Refuse(kMethodNotAllowed, "method-not-allowed", "use GET, PUT, POST or DELETE");
+  }
+  CallerRequest caller;
+  caller.method = request.method;
+  caller.service = ServiceName{parts->service};
+  const auto found = settings.services.find(caller.service);
+  if (found == settings.services.end()) {
+    return Refuse(kNotFound, "unknown-service", "there is no service of that name");
+  }
+  const ServiceSettings& service = found->second;
+  const bool decoded = http::DecodePercent(parts->key, caller.key);
+  if (!decoded || caller.key.empty() || !http::IsPlainUtf8(caller.key)) {
+    return Refuse(kBadRequest, "bad-key", "the key must be percent-encoded UTF-8 and not empty");
+  }
+  if (caller.key.size() > kLongestKey) {
+    return Refuse(kBadRequest, "key-too-long", "the key must be at most 512 bytes long");
+  }
+  const std::string* customer = request.header("Sycamorestall-Customer");
+  if (customer == nullptr || customer->empty() || customer->size() > kLongestCustomer) {
+    return Refuse(kBadRequest, "customer-missing",
+                  "Sycamorestall-Customer must name the customer, in at most 128 bytes");
+  }
+  caller.customer = CustomerName{*customer};
+  std::optional<Answer> wrong = ReadTimeout(request, service, caller.timeout);
+  if (!wrong) {
+    wrong = ReadCommand(request, service, caller.command);
+  }
+  if (!wrong && body_bytes > service.max_body_bytes) {
+    wrong = Refuse(kTooLarge, "body-too-large",
+                   "the body must be at most " + std::to_string(service.max_body_bytes) + " bytes");
+  }
+  if (wrong) {
+    return *wrong;
+  }
+  caller.shard = ShardOfKey(caller.key, service.shards);
+  const std::string* content_type = request.header("Content-Type");
+  caller.content_type = content_type == nullptr ? "" : *content_type;
+  caller.body = request.body;
+  return caller;
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/app/command_line.cc
@@ -0,0 +1,151 @@
+#include "app/command_line.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/system/system_error.hpp>
+#include <csignal>
+#include <exception>
+#include <functional>
+#include <iostream>
+#include <string>
+
+#include "app/daemon.h"
+#include "app/operator_client.h"
+#include "config/settings_parser.h"
+#include "log/log.h"
+
+namespace sycamorestall {
+
+namespace {
+
+constexpr int kDefaultPatienceS = 10;
+
+// What the options of all commands fill in.
+struct Options {
+  std::string file;
+  std::string origin = "http://127.0.0.1:8080";
+  std::string service;
+  std::string key;
+  std::string author = "operator";
+  std::int64_t expected_version = -1;
+  bool wait = false;
+  int patience_s = kDefaultPatienceS;
+};
+
+// What to do once the arguments are read.
+using Action = std::function<ExitStatus()>;
+
+ExitStatus CheckConfig(const std::string& file) {
+  const auto loaded = LoadSettings(file);
+  if (const auto* error = std::get_if<SettingsError>(&loaded)) {
+    std::cerr << ToString(*error) << "\n";
+    return ExitStatus::kBadSettings;
+  }
+  std::cout << file << ": valid\n";
+  return ExitStatus::kDone;
+}
+
+ExitStatus Serve(const std::string& file) {
+  const auto loaded = LoadSettings(file);
+  if (const auto* error = std::get_if<SettingsError>(&loaded)) {
+    std::cerr << ToString(*error) << "\n";
+    return ExitStatus::kBadSettings;
+  }
+  const auto& settings = std::get<Settings>(loaded);
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLog(settings.log_level);
+  ExitStatus status = ExitStatus::kDone;
+  try {
+    Daemon daemon{settings};
+    daemon.Run();
+  } catch (const std::exception& error) {
+    std::cerr << "sycamorestall: cannot serve: " << error.what() << "\n";
+    status = ExitStatus::kFailed;
+  }
+  StopLog();
+  return status;
+}
+
+void AddOrigin(CLI::App& command, Options& options) {
+  command.add_option("--daemon", options.origin, "Origin of the daemon to ask.")
+      ->envname("SYCAMORESTALL_DAEMON")
+      ->capture_default_str();
+}
+
+void AddDocument(CLI::App& app, const std::string& name, Options& options, Action& action) {
+  CLI::App* document = app.add_subcommand(name, "Shows or changes the list of " + name + ".");
+  document->require_subcommand(1);
+  CLI::App* get = document->add_subcommand("get", "Prints the list in force.");
+  AddOrigin(*get, options);
+  get->callback([&options, &action, name] {
+    action = [&options, name] { return OperatorClient{options.origin}.ShowDocument(name, false); };
+  });
+  CLI::App* history = document->add_subcommand("history", "Prints the latest changes.");
+  AddOrigin(*history, options);
+  history->callback([&options, &action, name] {
+    action = [&options, name] { return OperatorClient{options.origin}.ShowDocument(name, true); };
+  });
+  CLI::App* apply = document->add_subcommand("apply", "Replaces the list by that of a TOML file.");
+  AddOrigin(*apply, options);
+  apply->add_option("file", options.file, "The TOML file.")->required();
+  apply->add_option("--expect-version", options.expected_version,
+                    "Refuse the change unless this version is in force.");
+  apply->add_option("--author", options.author, "Who makes the change.")->capture_default_str();
+  apply->add_flag("--wait", options.wait, "Wait until every living daemon has it in force.");
+  apply->add_option("--patience", options.patience_s, "Seconds to wait at most.")
+      ->capture_default_str();
+  apply->callback([&options, &action, name] {
+    action = [&options, name] {
+      return OperatorClient{options.origin}.Apply(name, options.file, options.expected_version,
+                                                  options.author, options.wait,
+                                                  std::chrono::seconds{options.patience_s});
+    };
+  });
+}
+
+void AddCommands(CLI::App& app, Options& options, Action& action) {
+  CLI::App* serve = app.add_subcommand("serve", "Runs a daemon.");
+  serve->add_option("--config", options.file, "The settings, in TOML.")->required();
+  serve->callback([&] { action = [&options] { return Serve(options.file); }; });
+  CLI::App* check = app.add_subcommand("check-config", "Checks a settings file.");
+  check->add_option("file", options.file, "The settings, in TOML.")->required();
+  check->callback([&] { action = [&options] { return CheckConfig(options.file); }; });
+  CLI::App* status = app.add_subcommand("status", "Prints how a daemon and its groups stand.");
+  AddOrigin(*status, options);
+  status->callback(
+      [&] { action = [&options] { return OperatorClient{options.origin}.Status(); }; });
+  CLI::App* explain = app.add_subcommand("explain", "Prints who owns a key and how it stands.");
+  AddOrigin(*explain, options);
+  explain->add_option("key", options.key, "The key.")->required();
+  explain->add_option("--service", options.service, "The service.")->required();
+  explain->callback([&] {
+    action = [&options] {
+      return OperatorClient{options.origin}.Explain(options.service, options.key);
+    };
+  });
+  CLI::App* drain = app.add_subcommand("drain", "Stops a daemon gracefully.");
+  AddOrigin(*drain, options);
+  drain->callback([&] { action = [&options] { return OperatorClient{options.origin}.Drain(); }; });
+  AddDocument(app, "plans", options, action);
+  AddDocument(app, "customers", options, action);
+}
+
+}  // namespace
+
+int RunCommandLine(int argc, char** argv) {
+  CLI::App app{"Routes requests to servers that each own their keys exclusively.", "sycamorestall"};
+  app.set_version_flag("--version", std::string("sycamorestall ") + SYCAMORESTALL_VERSION);
+  app.set_help_all_flag("--help-all", "Print the help of all commands.");
+  app.require_subcommand(1);
+  Options options;
+  Action action;
+  AddCommands(app, options, action);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int status = app.exit(error);
+    return status == 0 ? 0 : static_cast<int>(ExitStatus::kBadArguments);
+  }
+  return static_cast<int>(action());
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/app/daemon.cc
@@ -0,0 +1,529 @@
+#include "app/daemon.h"
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "app/caller_request.h"
+#include "app/explain.h"
+#include "app/http_frontend.h"
+#include "clock/system_clock.h"
+#include "core/shard_map.h"
+#include "platform/record_json.h"
+
+namespace sycamorestall {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickPeriod{10};
+constexpr std::chrono::milliseconds kKnowledgePeriod{300};
+constexpr std::chrono::milliseconds kLeadersRetry{500};
+// A daemon that leaves goes on taking requests this long, until the platform's
+// balancer has seen that it is not ready.
+constexpr std::chrono::milliseconds kDrainLeast{1000};
+constexpr std::chrono::seconds kDrainMost{30};
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+Member MakeSelf(const Settings& settings) {
+  const auto started = static_cast<std::uint64_t>(WallNow().count());
+  return {{settings.instance, Incarnation{started}},
+          settings.domain,
+          ToString(settings.peer),
+          MemberState::kAlive,
+          0};
+}
+
+std::set<ServiceName> NamesOf(const Settings& settings) {
+  std::set<ServiceName> names;
+  for (const auto& [name, service] : settings.services) {
+    names.insert(name);
+  }
+  return names;
+}
+
+}  // namespace
+
+Daemon::Daemon(Settings settings)
+    : settings_(std::move(settings)),
+      platform_(settings_.platform, settings_.instance.value(), settings_.platform_timeout),
+      endpoints_(loop_, settings_.ranks.size()),
+      membership_(MembershipSettings{}, MakeSelf(settings_), RandomSeed()),
+      leadership_(LeadershipSettings{}, BootNow()),
+      config_(loop_, platform_, metrics_, NamesOf(settings_)),
+      network_(loop_.context(), *this),
+      timer_(loop_.context()),
+      signals_(loop_.context(), SIGTERM, SIGINT) {
+  const GroupRunner::Tools tools{loop_, *this, platform_, endpoints_, metrics_};
+  for (const auto& [name, service] : settings_.services) {
+    for (const DomainName& domain : service.domains) {
+      GroupSettings group;
+      group.group = {name, domain};
+      group.shards = ShardsOfDomain(service.shards, domain, service.domains);
+      group.endpoints_check_token = service.endpoints_check_token;
+      runners_[group.group] = std::make_unique<GroupRunner>(tools, settings_, group, self());
+    }
+  }
+  ingress_ = std::make_unique<Ingress>(
+      Ingress::Tools{settings_, config_, membership_, leadership_, network_, runners_, metrics_});
+  frontend_ = std::make_unique<HttpFrontend>(*this);
+}
+
+Daemon::~Daemon() = default;
+
+int Daemon::Run() {
+  using boost::asio::ip::make_address;
+  const auto host = make_address(settings_.peer.host);
+  network_.Listen({host, settings_.peer.port});
+  gossip_ = std::make_unique<GossipSocket>(
+      loop_.context(), boost::asio::ip::udp::endpoint{host, settings_.peer.port},
+      [this](const GossipMessage& message) { TakeGossip(message); });
+  frontend_->Start();
+  signals_.async_wait([this](const auto& error, int) {
+    if (!error) {
+      Drain();
+    }
+  });
+  log_.Info("started as " + settings_.instance.value() + " in domain " + settings_.domain.value());
+  StartTick();
+  loop_.context().run();
+  frontend_->Stop();
+  endpoints_.Stop();
+  platform_.Stop();
+  log_.Info("stopped");
+  return 0;
+}
+
+void Daemon::StartTick() {
+  timer_.expires_after(kTickPeriod);
+  timer_.async_wait([this](const auto& error) {
+    if (!error) {
+      Tick();
+      StartTick();
+    }
+  });
+}
+
+void Daemon::Tick() {
+  const Instant now = BootNow();
+  TickList(now);
+  membership_.Tick(now);
+  TickLeadership(now);
+  for (const auto& [group, runner] : runners_) {
+    runner->Tick(now);
+  }
+  ingress_->Tick(now);
+  network_.Tick(now);
+  TickConfig(now);
+  SendGossip();
+  TickDrain(now);
+}
+
+void Daemon::TickList(Instant now) {
+  if (!leaders_read_ && !leaders_open_) {
+    ReadLeaders();
+  }
+  if (list_open_ || now < next_list_) {
+    return;
+  }
+  list_open_ = true;
+  next_list_ = now + settings_.list_interval;
+  metrics_.Count("store_calls_total{cause=\"instance list\"}");
+  platform_.ReadInstances([this](std::error_code error, const InstanceList& list) {
+    loop_.Post([this, error, list] {
+      list_open_ = false;
+      if (error) {
+        log_.Warning("reading the list of instances failed: " + error.message());
+        return;
+      }
+      TakeInstances(list);
+    });
+  });
+}
+
+void Daemon::ReadLeaders() {
+  leaders_open_ = true;
+  metrics_.Count("store_calls_total{cause=\"leaders read\"}");
+  platform_.ReadPrefix(
+      "groups/", [this](std::error_code error, const std::map<std::string, StoreValue>& values) {
+        loop_.Post([this, error, values] {
+          if (error) {
+            // Peers may know meanwhile; the next try waits for the next list.
+            const auto retry =
+                std::make_shared<boost::asio::steady_timer>(loop_.context(), kLeadersRetry);
+            retry->async_wait([this, retry](const auto&) { leaders_open_ = false; });
+            return;
+          }
+          leaders_read_ = true;
+          for (const auto& [key, value] : values) {
+            const std::optional<GroupRecord> record = ParseRecord(value.text);
+            if (record) {
+              LearnLeader({record->group, record->term, record->leader});
+            }
+          }
+        });
+      });
+}
+
+void Daemon::TakeInstances(InstanceList list) {
+  if (list.revision < instances_.revision) {
+    return;
+  }
+  const Instant now = BootNow();
+  instances_ = std::move(list);
+  by_id_.clear();
+  std::set<InstanceId> daemons;
+  for (const Instance& instance : instances_.instances) {
+    by_id_[instance.id] = instance;
+    if (instance.service.empty()) {
+      daemons.insert(instance.id);
+    }
+  }
+  membership_.TakeInstances(now, instances_);
+  for (const auto& [group, runner] : runners_) {
+    runner->TakeInstances(now, instances_);
+    const std::vector<ProcessId> earlier = runner->leader().record().earlier_leaders;
+    for (const ProcessId& process : earlier) {
+      const bool gone =
+          daemons_seen_.contains(process.instance) && !daemons.contains(process.instance);
+      if (gone) {
+        runner->TakeStepDown(now, process);
+      }
+    }
+  }
+  daemons_seen_.insert(daemons.begin(), daemons.end());
+}
+
+std::string Daemon::EndpointAddress(const InstanceId& endpoint) const {
+  const auto found = by_id_.find(endpoint);
+  if (found == by_id_.end() || IsCut(found->second.domain)) {
+    return {};
+  }
+  return found->second.address;
+}
+
+void Daemon::AnnounceLeader(const LeaderNotice& notice) { LearnLeader(notice); }
+
+void Daemon::LearnLeader(const LeaderNotice& notice) {
+  if (!leadership_.Learn(notice)) {
+    return;
+  }
+  log_.Info("group " + ToString(notice.group) + " is led by " + notice.leader.instance.value() +
+            " in term " + std::to_string(notice.term.value));
+  membership_.Announce(notice);
+  const auto runner = runners_.find(notice.group);
+  if (runner != runners_.end() && notice.leader != self()) {
+    runner->second->HearOfTerm(BootNow(), notice);
+  }
+}
+
+void Daemon::AskStepDown(const GroupId& group, const sycamorestall::AskStepDown& ask) {
+  const Member* member = membership_.Find(ask.earlier.instance);
+  if (member == nullptr || IsCut(member->domain)) {
+    return;
+  }
+  network_.Send(member->address, kControlChannel,
+                StepDownRequest{group, ask.term, ask.earlier, self()});
+}
+
+void Daemon::TickLeadership(Instant now) {
+  if (draining_) {
+    return;
+  }
+  for (const auto& [group, runner] : runners_) {
+    switch (leadership_.Judge(now, group, membership_)) {
+      case LeadershipAdvice::kNothing:
+        break;
+      case LeadershipAdvice::kClaim:
+        runner->Claim(now);
+        break;
+      case LeadershipAdvice::kClaimIfReached:
+        runner->ClaimIfReached(instances_);
+        break;
+      case LeadershipAdvice::kHandOver:
+        HandOverGroup(*runner, now);
+        break;
+    }
+  }
+}
+
+void Daemon::HandOverGroup(GroupRunner& runner, Instant now) {
+  if (!runner.leads()) {
+    return;
+  }
+  const GroupId group = runner.leader().settings().group;
+  const Term term = runner.leader().term();
+  std::vector<Member> others = membership_.Alive();
+  std::erase_if(others, [this](const Member& each) { return draining_ && each.process == self(); });
+  const std::optional<Member> best = LeadershipTable::Best(group, others);
+  if (!best || best->process == self()) {
+    return;
+  }
+  log_.Info("group " + ToString(group) + " is handed to " + best->process.instance.value());
+  runner.Resign(now, best->process);
+  network_.Send(best->address, kControlChannel, HandOver{group, term});
+}
+
+void Daemon::TickConfig(Instant now) {
+  config_.Tick(now);
+  membership_.SetVersions(config_.versions());
+  std::vector<Member> near;
+  for (const Member& member : membership_.Alive()) {
+    if (member.domain == settings_.domain) {
+      near.push_back(member);
+    }
+  }
+  // One daemon of each domain watches the store; the scores of a group that
+  // does not exist choose it.
+  const std::optional<Member> watcher =
+      LeadershipTable::Best({ServiceName{"config"}, settings_.domain}, near);
+  config_.SetWatching(watcher && watcher->process == self());
+}
+
+void Daemon::TakeGossip(const GossipMessage& message) {
+  if (IsCut(message.sender.domain)) {
+    return;
+  }
+  const Instant now = BootNow();
+  membership_.Receive(now, message);
+  for (const LeaderNotice& notice : membership_.TakeNotices()) {
+    LearnLeader(notice);
+  }
+  const ConfigVersions mine = config_.versions();
+  const bool behind =
+      message.versions.plans > mine.plans || message.versions.customers > mine.customers;
+  const bool blank = leadership_.All().empty();
+  if ((behind || blank) && now >= next_knowledge_) {
+    next_knowledge_ = now + kKnowledgePeriod;
+    network_.Send(message.sender.address, kControlChannel, KnowledgeRequest{mine});
+  }
+  SendGossip();
+}
+
+void Daemon::SendGossip() {
+  for (const OutgoingGossip& each : membership_.TakeMessages()) {
+    bool cut = false;
+    for (const Member& member : membership_.Alive()) {
+      cut = cut || (member.address == each.address && IsCut(member.domain));
+    }
+    if (!cut && gossip_) {
+      gossip_->Send(each.address, each.message);
+    }
+  }
+  metrics_.Set("gossip_sent_bytes", static_cast<double>(gossip_ ? gossip_->sent_bytes() : 0));
+}
+
+void Daemon::Cut(std::set<DomainName> domains) {
+  cut_domains_ = std::move(domains);
+  std::set<std::string> addresses;
+  for (const Instance& instance : instances_.instances) {
+    if (instance.service.empty() && IsCut(instance.domain)) {
+      addresses.insert(instance.address);
+    }
+  }
+  network_.Cut(std::move(addresses));
+}
+
+void Daemon::LinkLost(const std::string& address, PeerChannel channel, bool refused) {
+  const Instant now = BootNow();
+  for (const Member& member : membership_.Alive()) {
+    if (member.address == address) {
+      membership_.Doubt(now, member.process.instance);
+    }
+  }
+  if (ingress_) {
+    ingress_->LinkLost(address, channel, refused);
+  }
+}
+
+void Daemon::TakeMessage(const PeerSource& source, PeerMessage message) {
+  std::visit([this, &source](auto& each) { Take(source, std::move(each)); }, message);
+}
+
+void Daemon::Take(const PeerSource& source, ForwardRequest request) {
+  const std::uint64_t number = request.number;
+  const auto service = settings_.services.find(request.service);
+  if (service == settings_.services.end() || request.shard.value >= service->second.shards) {
+    network_.Reply(source, ForwardReply{number,
+                                        MakeRefusal(503, Outcome::kNotRun, "settings-differ",
+                                                    "the daemons' settings differ"),
+                                        std::nullopt});
+    return;
+  }
+  const GroupId group{request.service, DomainOfShard(request.shard, service->second.domains)};
+  const std::uint64_t served = next_served_++;
+  served_[served] = {source, number, group, {}};
+  const RequestNumber local =
+      runners_.at(group)->Take(std::move(request), [this, served](Answer answer) {
+        const auto found = served_.find(served);
+        if (found == served_.end()) {
+          return;
+        }
+        ForwardReply reply{found->second.number, std::move(answer), std::nullopt};
+        const LeaderNotice* notice = leadership_.Find(found->second.group);
+        if (reply.answer.reason == "not-leader" && notice != nullptr) {
+          reply.leader = *notice;
+        }
+        network_.Reply(found->second.source, reply);
+        served_.erase(found);
+      });
+  const auto still_open = served_.find(served);
+  if (still_open != served_.end()) {
+    still_open->second.local = local;
+  }
+}
+
+void Daemon::Take(const PeerSource&, const ForwardReply& reply) {
+  if (reply.leader) {
+    LearnLeader(*reply.leader);
+  }
+  ingress_->TakeReply(reply);
+}
+
+void Daemon::Take(const PeerSource& source, const CancelForward& cancel) {
+  for (auto each = served_.begin(); each != served_.end(); ++each) {
+    const bool same_source =
+        !each->second.source.owner_before(source) && !source.owner_before(each->second.source);
+    if (each->second.number == cancel.number && same_source) {
+      runners_.at(each->second.group)->Cancel(each->second.local);
+      served_.erase(each);
+      return;
+    }
+  }
+}
+
+void Daemon::Take(const PeerSource& source, const StepDownRequest& request) {
+  const auto runner = runners_.find(request.group);
+  if (runner == runners_.end() || request.earlier.instance != settings_.instance) {
+    return;
+  }
+  LearnLeader({request.group, request.term, request.leader});
+  runner->second->HearOfTerm(BootNow(), {request.group, request.term, request.leader});
+  const bool other_start = request.earlier.incarnation != self().incarnation;
+  const bool sends_none = runner->second->idle() || runner->second->leader().term() > request.term;
+  if (other_start || sends_none) {
+    network_.Reply(source, StepDownReply{request.group, request.term, request.earlier});
+  }
+}
+
+void Daemon::Take(const PeerSource&, const StepDownReply& reply) {
+  const auto runner = runners_.find(reply.group);
+  if (runner != runners_.end()) {
+    runner->second->TakeStepDown(BootNow(), reply.earlier);
+  }
+}
+
+void Daemon::Take(const PeerSource&, const HandOver& hand_over) {
+  const auto runner = runners_.find(hand_over.group);
+  if (runner != runners_.end() && !draining_) {
+    runner->second->Claim(BootNow());
+  }
+}
+
+void Daemon::Take(const PeerSource& source, const KnowledgeRequest& request) {
+  KnowledgeReply reply;
+  reply.leaders = leadership_.All();
+  const ConfigVersions mine = config_.versions();
+  if (mine.plans > request.have.plans) {
+    reply.plans = config_.Text(DocumentKind::kPlans);
+  }
+  if (mine.customers > request.have.customers) {
+    reply.customers = config_.Text(DocumentKind::kCustomers);
+  }
+  network_.Reply(source, reply);
+}
+
+void Daemon::Take(const PeerSource&, const KnowledgeReply& reply) {
+  for (const LeaderNotice& notice : reply.leaders) {
+    LearnLeader(notice);
+  }
+  if (!reply.plans.empty()) {
+    config_.Take(DocumentKind::kPlans, reply.plans, std::nullopt);
+  }
+  if (!reply.customers.empty()) {
+    config_.Take(DocumentKind::kCustomers, reply.customers, std::nullopt);
+  }
+}
+
+void Daemon::Explain(const ServiceName& service, const std::string& key,
+                     const std::function<void(std::string)>& callback) {
+  const auto found = settings_.services.find(service);
+  if (found == settings_.services.end()) {
+    callback({});
+    return;
+  }
+  const ShardId shard = ShardOfKey(key, found->second.shards);
+  const GroupId group{service, DomainOfShard(shard, found->second.domains)};
+  const LeaderNotice* notice = leadership_.Find(group);
+  const Member* leader = notice == nullptr ? nullptr : membership_.Find(notice->leader.instance);
+  const bool ask = !runners_.at(group)->leads() && leader != nullptr;
+  const std::uint64_t number = next_explain_++;
+  const bool asked =
+      ask && network_.Send(leader->address, kControlChannel, ExplainRequest{number, service, key});
+  if (!asked) {
+    callback(ExplainKey(*this, group, shard, key));
+    return;
+  }
+  explaining_[number] = callback;
+}
+
+void Daemon::Take(const PeerSource& source, const ExplainRequest& request) {
+  const auto found = settings_.services.find(request.service);
+  if (found == settings_.services.end()) {
+    return;
+  }
+  const ShardId shard = ShardOfKey(request.key, found->second.shards);
+  const GroupId group{request.service, DomainOfShard(shard, found->second.domains)};
+  network_.Reply(source,
+                 ExplainReply{request.number, ExplainKey(*this, group, shard, request.key)});
+}
+
+void Daemon::Take(const PeerSource&, const ExplainReply& reply) {
+  const auto found = explaining_.find(reply.number);
+  if (found == explaining_.end()) {
+    return;
+  }
+  const auto callback = std::move(found->second);
+  explaining_.erase(found);
+  callback(reply.text);
+}
+
+void Daemon::Take(const PeerSource&, const LinkPing&) {}
+
+void Daemon::Take(const PeerSource&, const LinkPong&) {}
+
+void Daemon::Drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  drain_started_ = BootNow();
+  log_.Info("leaves");
+  membership_.Leave();
+  for (const auto& [group, runner] : runners_) {
+    HandOverGroup(*runner, drain_started_);
+  }
+  SendGossip();
+}
+
+void Daemon::TickDrain(Instant now) {
+  if (!draining_ || now < drain_started_ + kDrainLeast) {
+    return;
+  }
+  ingress_->Close();
+  const bool finished = ingress_->open() == 0 && served_.empty();
+  if (!finished && now < drain_started_ + kDrainMost) {
+    return;
+  }
+  for (const auto& [group, runner] : runners_) {
+    runner->Resign(now, std::nullopt);
+  }
+  network_.Stop();
+  gossip_->Stop();
+  loop_.context().stop();
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/app/endpoint_client.cc
@@ -0,0 +1,152 @@
+#include "app/endpoint_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "app/caller_request.h"
+#include "endpoint/order_json.h"
+
+namespace sycamorestall {
+
+namespace {
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kConflict = 409;
+constexpr std::uint16_t kBadGateway = 502;
+constexpr std::uint16_t kUnavailable = 503;
+constexpr std::uint16_t kGatewayTimeout = 504;
+constexpr std::chrono::milliseconds kCancelTimeout{500};
+
+std::string HeaderOr(const http::CallResult& result, const char* name) {
+  const std::string* value = http::FindHeader(result.headers, name);
+  return value == nullptr ? std::string{} : *value;
+}
+
+EndpointResult Translate(http::CallResult result) {
+  EndpointResult translated;
+  if (result.error && !result.perhaps_sent) {
+    translated.proved_not_run = true;
+    translated.connection_failed = true;
+    translated.answer = MakeRefusal(kUnavailable, Outcome::kNotRun, "endpoint-not-reached",
+                                    "the endpoint could not be reached");
+    return translated;
+  }
+  if (result.error) {
+    translated.connection_failed = true;
+    translated.answer =
+        MakeRefusal(kGatewayTimeout, Outcome::kUnknown, "endpoint-silent",
+                    "the endpoint gave no whole answer; the request may have been run");
+    return translated;
+  }
+  const std::string outcome = HeaderOr(result, "Endpoint-Outcome");
+  if (outcome == ToString(Outcome::kNotRun)) {
+    const bool not_owner = result.status == kConflict;
+    translated.proved_not_run = true;
+    translated.answer =
+        MakeRefusal(kUnavailable, Outcome::kNotRun, not_owner ? "not-owner" : "endpoint-shed",
+                    "the endpoint did not take the request");
+    return translated;
+  }
+  if (outcome != ToString(Outcome::kRun)) {
+    translated.answer = MakeRefusal(kBadGateway, Outcome::kUnknown, "endpoint-answer-bad",
+                                    "the endpoint's answer does not say whether it ran");
+    return translated;
+  }
+  translated.answer.outcome = Outcome::kRun;
+  translated.answer.status = result.status;
+  translated.answer.content_type = HeaderOr(result, "Content-Type");
+  translated.answer.body = std::move(result.body);
+  return translated;
+}
+
+http::Call MakeRequestCall(const std::string& address, const ShardRoute& route,
+                           const ForwardRequest& request, std::chrono::milliseconds timeout) {
+  http::Call call;
+  call.method = static_cast<http::Method>(request.method);
+  call.url = "http://" + address + "/run/" + http::EncodePercent(request.key);
+  call.body = request.body;
+  call.timeout = timeout;
+  call.idempotent = !request.command.has_value();
+  call.headers = {{"Endpoint-Shard", std::to_string(request.shard.value)},
+                  {"Endpoint-Epoch", std::to_string(route.epoch.value)},
+                  {"Endpoint-Term", std::to_string(route.term.value)},
+                  {"Endpoint-Request", request.request_id},
+                  {"Endpoint-Customer", request.customer.value()},
+                  {"Endpoint-Deadline-Ms", std::to_string(timeout.count())}};
+  if (request.command) {
+    call.headers.push_back({"Idempotency-Key", ToString(*request.command)});
+  }
+  if (!request.content_type.empty()) {
+    call.headers.push_back({"Content-Type", request.content_type});
+  }
+  return call;
+}
+
+}  // namespace
+
+EndpointClient::EndpointClient(Loop& loop, std::size_t ranks)
+    : loop_(loop), control_(http::ClientSettings{}) {
+  for (std::size_t i = 0; i < ranks; ++i) {
+    by_rank_.push_back(std::make_unique<http::HttpClient>(http::ClientSettings{}));
+  }
+}
+
+void EndpointClient::SendOrder(const std::string& address, const EndpointOrder& order,
+                               std::chrono::milliseconds timeout, OrderCallback callback) {
+  http::Call call;
+  call.method = http::Method::kPost;
+  call.url = "http://" + address + "/control/orders";
+  call.body = WriteOrder(order);
+  call.timeout = timeout;
+  control_.Start(std::move(call),
+                 [this, callback = std::move(callback)](const http::CallResult& result) {
+                   std::optional<EndpointReply> reply;
+                   if (!result.error && result.status == kOk) {
+                     reply = ParseReply(result.body);
+                   }
+                   loop_.Post([callback, reply = std::move(reply)] { callback(reply); });
+                 });
+}
+
+void EndpointClient::Probe(const std::string& address, std::chrono::milliseconds timeout,
+                           std::function<void(bool)> callback) {
+  http::Call call;
+  call.url = "http://" + address + "/control/health";
+  call.timeout = timeout;
+  control_.Start(std::move(call),
+                 [this, callback = std::move(callback)](const http::CallResult& result) {
+                   const bool reached = !result.error && result.status == kOk;
+                   loop_.Post([callback, reached] { callback(reached); });
+                 });
+}
+
+std::uint64_t EndpointClient::SendRequest(std::size_t rank, const std::string& address,
+                                          const ShardRoute& route, const ForwardRequest& request,
+                                          std::chrono::milliseconds timeout, bool fresh_connection,
+                                          ResultCallback callback) {
+  http::Call call = MakeRequestCall(address, route, request, timeout);
+  call.fresh_connection = fresh_connection;
+  return by_rank_[rank]->Start(
+      std::move(call), [this, callback = std::move(callback)](http::CallResult result) {
+        loop_.Post([callback, translated = Translate(std::move(result))]() mutable {
+          callback(std::move(translated));
+        });
+      });
+}
+
+void EndpointClient::Cancel(const std::string& address, const std::string& request_id) {
+  http::Call call;
+  call.method = http::Method::kDelete;
+  call.url = "http://" + address + "/requests/" + http::EncodePercent(request_id);
+  call.timeout = kCancelTimeout;
+  control_.Start(std::move(call), [](const http::CallResult&) {});
+}
+
+void EndpointClient::Stop() {
+  control_.Stop();
+  for (const auto& client : by_rank_) {
+    client->Stop();
+  }
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/app/group_runner.cc
@@ -0,0 +1,402 @@
+#include "app/group_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "app/caller_request.h"
+#include "clock/system_clock.h"
+#include "platform/record_json.h"
+
+namespace sycamorestall {
+
+namespace {
+
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kConflict = 409;
+constexpr std::uint16_t kTooMany = 429;
+constexpr std::uint16_t kUnavailable = 503;
+constexpr std::uint32_t kRetryAfterS = 1;
+constexpr int kMostTries = 3;
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryBurst = 20;
+constexpr std::chrono::seconds kExpiryPeriod{5};
+constexpr std::chrono::milliseconds kLeastTimeLeft{1};
+// Weight of the newest measurement in the moving average of service times.
+constexpr int kAverageSpan = 16;
+
+GroupSettings Complete(GroupSettings group, const Settings& settings) {
+  group.time_to_live = settings.leases.time_to_live;
+  group.clock_margin = settings.leases.clock_margin;
+  group.renew_interval = settings.leases.renew_interval;
+  group.order_timeout = settings.leases.order_timeout;
+  return group;
+}
+
+Answer Overloaded(std::uint16_t status, const char* reason, const char* message) {
+  Answer answer = MakeRefusal(status, Outcome::kNotRun, reason, message);
+  answer.retry_after_s = kRetryAfterS;
+  return answer;
+}
+
+}  // namespace
+
+GroupRunner::GroupRunner(Tools tools, const Settings& settings, GroupSettings group, ProcessId self)
+    : tools_(tools),
+      service_(settings.services.at(group.group.service)),
+      rank_name_(settings.ranks[service_.rank].name),
+      leader_(Complete(group, settings), std::move(self)),
+      dispatcher_(DispatchSettings{service_.slots, service_.queue}),
+      commands_(IdempotencySettings{settings.command_age_limit, settings.command_clock_margin}),
+      retries_(kRetryShare, kRetryBurst),
+      log_("group " + ToString(group.group)) {}
+
+Dispatcher::RouteLookup GroupRunner::Routes() const {
+  return [this, now = BootNow()](ShardId shard) { return leader_.Route(shard, now); };
+}
+
+void GroupRunner::Claim(Instant now) {
+  leader_.Claim(now);
+  RunActions();
+}
+
+void GroupRunner::Resign(Instant now, std::optional<ProcessId> next) {
+  leader_.Resign(now, std::move(next));
+  RunActions();
+}
+
+void GroupRunner::HearOfTerm(Instant now, const LeaderNotice& notice) {
+  leader_.HearOfTerm(now, notice.term, notice.leader);
+  RunActions();
+}
+
+void GroupRunner::TakeInstances(Instant now, const InstanceList& list) {
+  leader_.TakeInstances(now, list);
+  RunActions();
+}
+
+void GroupRunner::TakeStepDown(Instant now, const ProcessId& earlier) {
+  leader_.TakeStepDown(now, earlier);
+  RunActions();
+}
+
+void GroupRunner::ClaimIfReached(const InstanceList& list) {
+  const GroupId& group = leader_.settings().group;
+  if (probing_ || !idle()) {
+    return;
+  }
+  for (const Instance& instance : list.instances) {
+    const std::string address = tools_.host.EndpointAddress(instance.id);
+    if (instance.service != group.service || instance.domain != group.domain || address.empty()) {
+      continue;
+    }
+    probing_ = true;
+    tools_.endpoints.Probe(address, leader_.settings().order_timeout, [this](bool reached) {
+      probing_ = false;
+      if (reached) {
+        Claim(BootNow());
+      }
+    });
+  }
+}
+
+void GroupRunner::Tick(Instant now) {
+  leader_.Tick(now);
+  RunActions();
+  if (now >= next_expiry_) {
+    next_expiry_ = now + kExpiryPeriod;
+    commands_.Expire(WallNow());
+  }
+  for (const QueuedRequest& each : dispatcher_.TakeDropped(now + service_time_, Routes())) {
+    const auto found = work_.find(each.number);
+    const bool late = found != work_.end() && found->second.deadline <= now + service_time_;
+    if (late) {
+      Drop(each, "too-late", "the request could not be run before its deadline");
+    } else {
+      Drop(each, "queue-full", "too many requests wait for the endpoint");
+    }
+  }
+  Pump();
+}
+
+void GroupRunner::RunActions() {
+  for (const GroupAction& action : leader_.TakeActions()) {
+    std::visit([this](const auto& each) { Run(each); }, action);
+  }
+}
+
+void GroupRunner::Run(const ReadRecord&) {
+  tools_.metrics.Count("store_calls_total{cause=\"group read\"}");
+  tools_.platform.Read(RecordKey(leader_.settings().group),
+                       [this](std::error_code error, const StoreValue& value) {
+                         tools_.loop.Post([this, error, value] {
+                           std::optional<StoredRecord> stored;
+                           if (value.revision.value != 0) {
+                             std::optional<GroupRecord> record = ParseRecord(value.text);
+                             if (!record) {
+                               log_.Error("the group's record in the store cannot be read");
+                               leader_.FailRead(BootNow());
+                               return;
+                             }
+                             stored = StoredRecord{value.revision, std::move(*record)};
+                           }
+                           if (error) {
+                             log_.Warning("reading the record failed: " + error.message());
+                             leader_.FailRead(BootNow());
+                           } else {
+                             leader_.TakeRecord(BootNow(), stored);
+                           }
+                           RunActions();
+                         });
+                       });
+}
+
+void GroupRunner::Run(const struct WriteRecord& action) {
+  tools_.metrics.Count("store_calls_total{cause=\"group write\"}");
+  tools_.platform.Swap(
+      RecordKey(action.record.group), WriteRecord(action.record), action.expected,
+      [this](const SwapResult& result) {
+        tools_.loop.Post([this, result] {
+          leader_.TakeWriteVerdict(BootNow(), result.verdict, result.value.revision);
+          if (leader_.phase() == LeaderPhase::kLeading) {
+            tools_.host.AnnounceLeader(
+                {leader_.settings().group, leader_.term(), leader_.record().leader});
+          }
+          RunActions();
+          Pump();
+        });
+      });
+}
+
+void GroupRunner::Run(const SendOrder& action) {
+  const std::string address = tools_.host.EndpointAddress(action.endpoint);
+  const std::uint64_t sequence = action.order.sequence;
+  if (address.empty()) {
+    tools_.loop.Post([this, endpoint = action.endpoint, sequence] {
+      leader_.FailOrder(BootNow(), endpoint, sequence);
+      RunActions();
+    });
+    return;
+  }
+  tools_.metrics.Count("orders_total");
+  tools_.endpoints.SendOrder(
+      address, action.order, leader_.settings().order_timeout,
+      [this, endpoint = action.endpoint, sequence](const std::optional<EndpointReply>& reply) {
+        if (reply) {
+          leader_.TakeReply(BootNow(), endpoint, sequence, *reply);
+        } else {
+          leader_.FailOrder(BootNow(), endpoint, sequence);
+        }
+        RunActions();
+        Pump();
+      });
+}
+
+void GroupRunner::Run(const struct AskStepDown& action) {
+  tools_.host.AskStepDown(leader_.settings().group, action);
+}
+
+void GroupRunner::Run(const Explain& action) { log_.Info(action.text); }
+
+void GroupRunner::Run(const Resigned&) {
+  std::vector<RequestNumber> waiting;
+  for (const auto& [number, work] : work_) {
+    if (!work.route) {
+      waiting.push_back(number);
+    }
+  }
+  for (const RequestNumber number : waiting) {
+    dispatcher_.Cancel(number);
+    Finish(number, Overloaded(kUnavailable, "not-leader", "the group's leader has changed"));
+  }
+}
+
+CommandId GroupRunner::IdOf(const ForwardRequest& request) const {
+  return {request.service, request.customer, *request.command};
+}
+
+std::optional<Answer> GroupRunner::JudgeCommand(const ForwardRequest& request, Instant now) {
+  const std::optional<ShardRoute> route = leader_.Route(request.shard, now);
+  std::optional<WallMilliseconds> sole_since;
+  const WallMilliseconds wall = WallNow();
+  if (route) {
+    const std::optional<Instant> since = leader_.SoleCommandSince(route->endpoint);
+    if (since) {
+      sole_since = wall - std::chrono::duration_cast<WallMilliseconds>(now - *since);
+    }
+  }
+  switch (commands_.Judge(IdOf(request), wall, sole_since)) {
+    case IdempotencyTable::Verdict::kFresh:
+      return std::nullopt;
+    case IdempotencyTable::Verdict::kAnswered:
+      return *commands_.Find(IdOf(request));
+    case IdempotencyTable::Verdict::kOpen:
+      return MakeRefusal(kConflict, Outcome::kUnknown, "command-open",
+                         "the command was sent before and is still open");
+    case IdempotencyTable::Verdict::kPerhapsRun:
+      if (!route) {
+        return Overloaded(kUnavailable, "no-owner", "no endpoint serves the key at the moment");
+      }
+      return MakeRefusal(kConflict, Outcome::kUnknown, "command-may-have-run",
+                         "an earlier leader may have run the command");
+    case IdempotencyTable::Verdict::kTooOld:
+      return MakeRefusal(kBadRequest, Outcome::kUnknown, "idempotency-key-too-old",
+                         "the Idempotency-Key is too old for it to be known whether it has run");
+    case IdempotencyTable::Verdict::kTooNew:
+      return MakeRefusal(kBadRequest, Outcome::kNotRun, "idempotency-key-in-future",
+                         "the Idempotency-Key's time lies in the future");
+    case IdempotencyTable::Verdict::kFull:
+      break;
+  }
+  return Overloaded(kUnavailable, "commands-full", "too many commands are remembered");
+}
+
+RequestNumber GroupRunner::Take(ForwardRequest request, ReplyFunction reply) {
+  const RequestNumber number = next_number_;
+  next_number_.value += 1;
+  const Instant now = BootNow();
+  if (!leads()) {
+    reply(Overloaded(kUnavailable, "not-leader", "this daemon does not lead the group"));
+    return number;
+  }
+  if (request.command) {
+    std::optional<Answer> answer = JudgeCommand(request, now);
+    if (answer) {
+      log_.Info("request " + request.request_id + " not dispatched: " + answer->reason);
+      reply(std::move(*answer));
+      return number;
+    }
+    commands_.Open(IdOf(request));
+  }
+  leader_.CountDemand(request.shard);
+  retries_.CountFirstTry();
+  Work work;
+  work.arrived = now;
+  work.deadline = now + std::chrono::milliseconds{request.timeout_ms};
+  work.request = std::move(request);
+  work.reply = std::move(reply);
+  work_.emplace(number, std::move(work));
+  Enqueue(number);
+  Pump();
+  return number;
+}
+
+void GroupRunner::Enqueue(RequestNumber number) {
+  Work& work = work_.at(number);
+  work.route.reset();
+  QueuedRequest queued{number, work.request.shard, work.request.customer, work.request.weight,
+                       work.deadline};
+  const std::optional<QueuedRequest> left = dispatcher_.Enqueue(std::move(queued), Routes());
+  if (left) {
+    Drop(*left, "queue-full", "too many requests wait for the endpoint");
+  }
+}
+
+void GroupRunner::Drop(const QueuedRequest& request, const char* reason, const char* message) {
+  const bool full = std::string_view(reason) == "queue-full";
+  Finish(request.number, Overloaded(full ? kTooMany : kUnavailable, reason, message));
+}
+
+void GroupRunner::Cancel(RequestNumber number) {
+  const auto found = work_.find(number);
+  if (found == work_.end()) {
+    return;
+  }
+  Work& work = found->second;
+  work.reply = [](const Answer&) {};
+  if (dispatcher_.Cancel(number)) {
+    Finish(number, Overloaded(kUnavailable, "caller-left", "the caller has left"));
+    return;
+  }
+  work.caller_left = true;
+  if (!work.request.command && !work.address.empty()) {
+    tools_.endpoints.Cancel(work.address, work.request.request_id);
+  }
+}
+
+void GroupRunner::Pump() {
+  for (const struct Dispatch& dispatch : dispatcher_.TakeDispatches(Routes())) {
+    Dispatch(dispatch);
+  }
+}
+
+void GroupRunner::Dispatch(const struct Dispatch& dispatch) {
+  Work& work = work_.at(dispatch.number);
+  const Instant now = BootNow();
+  work.route = dispatch.route;
+  work.dispatched = now;
+  work.tries += 1;
+  work.address = tools_.host.EndpointAddress(dispatch.route.endpoint);
+  const auto left = std::max(
+      std::chrono::duration_cast<std::chrono::milliseconds>(work.deadline - now), kLeastTimeLeft);
+  if (log_.Enabled(LogLevel::kInfo)) {
+    log_.Info("request " + work.request.request_id + " of shard " +
+              std::to_string(dispatch.shard.value) + " goes to " + dispatch.route.endpoint.value() +
+              " under epoch " + std::to_string(dispatch.route.epoch.value) + ", try " +
+              std::to_string(work.tries));
+  }
+  tools_.metrics.RecordQueueTime(work.request.service.value(), now - work.arrived);
+  const RequestNumber number = dispatch.number;
+  if (work.address.empty()) {
+    EndpointResult result;
+    result.proved_not_run = true;
+    result.answer = Overloaded(kUnavailable, "endpoint-not-reached", "the endpoint is cut off");
+    tools_.loop.Post([this, number, result] { TakeResult(number, result); });
+    return;
+  }
+  tools_.endpoints.SendRequest(
+      service_.rank, work.address, dispatch.route, work.request, left, work.fresh_connection,
+      [this, number](EndpointResult result) { TakeResult(number, std::move(result)); });
+}
+
+bool GroupRunner::MayTryAgain(const Work& work, const EndpointResult& result, Instant now) {
+  const bool harmless = result.proved_not_run || !work.request.command;
+  const bool worthwhile = result.answer.outcome != Outcome::kRun && !work.caller_left &&
+                          work.tries < kMostTries && now + service_time_ < work.deadline;
+  return harmless && worthwhile && leads() && retries_.TakeRetry();
+}
+
+void GroupRunner::TakeResult(RequestNumber number, EndpointResult result) {
+  const auto found = work_.find(number);
+  if (found == work_.end()) {
+    return;
+  }
+  Work& work = found->second;
+  const Instant now = BootNow();
+  dispatcher_.Finish(work.route->endpoint);
+  if (result.answer.outcome == Outcome::kRun) {
+    service_time_ += (now - work.dispatched - service_time_) / kAverageSpan;
+  }
+  if (MayTryAgain(work, result, now)) {
+    work.fresh_connection = result.connection_failed;
+    tools_.metrics.Count("retries_total{service=\"" + work.request.service.value() + "\"}");
+    Enqueue(number);
+  } else if (result.proved_not_run && !leads()) {
+    Finish(number, Overloaded(kUnavailable, "not-leader", "the group's leader has changed"));
+  } else {
+    Finish(number, std::move(result.answer));
+  }
+  Pump();
+}
+
+void GroupRunner::Finish(RequestNumber number, Answer answer) {
+  const auto found = work_.find(number);
+  if (found == work_.end()) {
+    return;
+  }
+  const Work work = std::move(found->second);
+  work_.erase(found);
+  if (work.request.command) {
+    if (answer.outcome == Outcome::kNotRun) {
+      commands_.Forget(IdOf(work.request));
+    } else {
+      commands_.Close(IdOf(work.request), answer);
+    }
+  }
+  if (!answer.reason.empty()) {
+    log_.Info("request " + work.request.request_id + " ends " + ToString(answer.outcome) + ": " +
+              answer.reason);
+  }
+  work.reply(std::move(answer));
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/app/operator_client.cc
@@ -0,0 +1,174 @@
+#include "app/operator_client.h"
+
+#include <toml++/toml.h>
+
+#include <cstdio>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "clock/system_clock.h"
+#include "core/uuid_v7.h"
+#include "http/http_client.h"
+
+namespace sycamorestall {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kCallTimeout{5};
+constexpr std::chrono::milliseconds kPollPeriod{100};
+constexpr int kLostReplies = 3;
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kConflict = 409;
+
+http::CallResult Ask(http::Method method, const std::string& url, std::string body = {}) {
+  http::Call call;
+  call.method = method;
+  call.url = url;
+  call.body = std::move(body);
+  call.timeout = kCallTimeout;
+  call.idempotent = method == http::Method::kGet;
+  return http::CallAndWait(std::move(call));
+}
+
+ExitStatus NotReached(const std::string& origin, const http::CallResult& result) {
+  std::cerr << "sycamorestall: " << origin << ": " << result.error.message() << "\n";
+  return ExitStatus::kDaemonNotReached;
+}
+
+std::string NewChangeId() {
+  std::random_device device;
+  std::mt19937_64 random(static_cast<std::uint64_t>(device()) << 32 | device());
+  return ToString(MakeUuidV7(WallNow(), random(), random()));
+}
+
+// Reads a TOML file as JSON; empty when it cannot be read, which is reported.
+std::optional<json> ReadToml(const std::string& file) {
+  try {
+    const toml::table table = toml::parse_file(file);
+    std::ostringstream text;
+    text << toml::json_formatter{table};
+    return json::parse(text.str());
+  } catch (const toml::parse_error& error) {
+    std::cerr << file << ":" << error.source().begin.line << ": " << error.description() << "\n";
+    return std::nullopt;
+  }
+}
+
+ExitStatus StatusOf(std::uint16_t http_status) {
+  switch (http_status) {
+    case kOk:
+      return ExitStatus::kDone;
+    case kConflict:
+      return ExitStatus::kConflict;
+    case kBadRequest:
+      return ExitStatus::kBadDocument;
+    default:
+      return ExitStatus::kFailed;
+  }
+}
+
+}  // namespace
+
+ExitStatus OperatorClient::Show(const std::string& path) const {
+  const http::CallResult result = Ask(http::Method::kGet, origin_ + path);
+  if (result.error) {
+    return NotReached(origin_, result);
+  }
+  (result.status == kOk ? std::cout : std::cerr) << result.body;
+  return result.status == kOk ? ExitStatus::kDone : ExitStatus::kFailed;
+}
+
+ExitStatus OperatorClient::Status() const { return Show("/v1/status"); }
+
+ExitStatus OperatorClient::Explain(const std::string& service, const std::string& key) const {
+  return Show("/v1/explain/" + service + "/" + http::EncodePercent(key));
+}
+
+ExitStatus OperatorClient::ShowDocument(const std::string& name, bool history) const {
+  return Show("/v1/" + name + (history ? "/history" : ""));
+}
+
+ExitStatus OperatorClient::Drain() const {
+  const http::CallResult result = Ask(http::Method::kPost, origin_ + "/v1/drain");
+  if (result.error) {
+    return NotReached(origin_, result);
+  }
+  std::cout << result.body;
+  return StatusOf(result.status);
+}
+
+ExitStatus OperatorClient::Apply(const std::string& name, const std::string& file,
+                                 std::int64_t expected_version, const std::string& author,
+                                 bool wait, std::chrono::seconds patience) const {
+  std::optional<json> document = ReadToml(file);
+  if (!document) {
+    return ExitStatus::kBadDocument;
+  }
+  if (expected_version < 0) {
+    const http::CallResult current = Ask(http::Method::kGet, origin_ + "/v1/" + name);
+    if (current.error) {
+      return NotReached(origin_, current);
+    }
+    const json parsed = json::parse(current.body, nullptr, false);
+    expected_version = parsed.is_object() ? parsed.value("version", std::int64_t{0}) : 0;
+  }
+  const json change{{"expected_version", expected_version},
+                    {"change_id", NewChangeId()},
+                    {"author", author},
+                    {"document", std::move(*document)}};
+  http::CallResult result;
+  // A lost reply is settled by sending the same change again: its id makes the
+  // daemon answer for the change rather than make it twice.
+  for (int attempt = 0; attempt < kLostReplies; ++attempt) {
+    result = Ask(http::Method::kPut, origin_ + "/v1/" + name, change.dump());
+    if (!result.error && result.status < 500) {
+      break;
+    }
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+  if (result.error) {
+    return NotReached(origin_, result);
+  }
+  const ExitStatus status = StatusOf(result.status);
+  (status == ExitStatus::kDone ? std::cout : std::cerr) << result.body;
+  if (status != ExitStatus::kDone || !wait) {
+    return status;
+  }
+  return WaitInForce(name, json::parse(result.body).at("version").get<std::uint64_t>(), patience);
+}
+
+ExitStatus OperatorClient::WaitInForce(const std::string& name, std::uint64_t version,
+                                       std::chrono::seconds patience) const {
+  const auto end = std::chrono::steady_clock::now() + patience;
+  std::string lagging;
+  do {
+    const http::CallResult result = Ask(http::Method::kGet, origin_ + "/v1/status");
+    const json status = json::parse(result.body, nullptr, false);
+    lagging = "the daemon that was asked";
+    if (!result.error && status.is_object()) {
+      lagging.clear();
+      for (const json& daemon : status.at("daemons")) {
+        if (daemon.value(name + "_version", std::uint64_t{0}) < version) {
+          lagging += " " + daemon.at("instance").get<std::string>();
+        }
+      }
+    }
+    if (lagging.empty()) {
+      std::cout << "in force on every living daemon\n";
+      return ExitStatus::kDone;
+    }
+    std::this_thread::sleep_for(kPollPeriod);
+  } while (std::chrono::steady_clock::now() < end);
+  std::cerr << "not yet in force on:" << lagging << "\n";
+  return ExitStatus::kNotInForce;
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/core/endpoint_order.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/group_record.h"
+#include "core/identifiers.h"
+
+namespace sycamorestall {
+
+// A shard granted under an epoch.
+struct ShardGrant {
+  ShardId shard;
+  Epoch epoch;
+
+  friend auto operator<=>(const ShardGrant&, const ShardGrant&) = default;
+};
+
+// A reading of an endpoint's own clock, made by that endpoint. Leases run from
+// such a reading, so an order that is delivered late extends nothing.
+struct EndpointStamp {
+  Incarnation incarnation;
+  std::int64_t clock_ns = 0;
+
+  friend auto operator<=>(const EndpointStamp&, const EndpointStamp&) = default;
+};
+
+// What a leader asks of an endpoint. With a stamp it extends every grant of the
+// group to the stamp plus the time to live; without one it only presents the
+// term and asks for the list. Orders of one term are numbered, and an endpoint
+// that checks them refuses one that is overtaken.
+struct EndpointOrder {
+  GroupId group;
+  ProcessId leader;
+  Term term;
+  std::uint64_t sequence = 0;
+  std::optional<EndpointStamp> stamp;
+  std::chrono::milliseconds time_to_live{};
+  std::vector<ShardGrant> grants;
+  std::vector<ShardId> revocations;
+
+  friend bool operator==(const EndpointOrder&, const EndpointOrder&) = default;
+};
+
+// How an endpoint took an order.
+enum class OrderVerdict { kAccepted, kStaleTerm, kStaleOrder, kStaleStamp };
+
+// An endpoint's reply to an order: what it holds afterwards, which revoked
+// shards still have requests in flight, and a fresh reading of its clock.
+struct EndpointReply {
+  OrderVerdict verdict = OrderVerdict::kAccepted;
+  Term term;
+  EndpointStamp stamp;
+  std::vector<ShardGrant> held;
+  std::vector<ShardId> draining;
+  bool leaving = false;
+
+  friend bool operator==(const EndpointReply&, const EndpointReply&) = default;
+};
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/core/group_leader_shards.cc
@@ -0,0 +1,329 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/group_leader.h"
+#include "core/invariant.h"
+
+namespace sycamorestall {
+
+namespace {
+
+// Without an answer for this many orders an endpoint counts as unreachable.
+constexpr std::uint32_t kFailuresToDoubt = 2;
+
+bool IsGone(const EndpointRow& row) { return row.seen_live && !row.listed; }
+
+bool TakesShards(const EndpointRow& row) {
+  return row.listed && !row.leaving && row.fenced && row.failures == 0 && row.stamp.has_value();
+}
+
+}  // namespace
+
+bool GroupLeader::MayCommand() const {
+  return settings_.endpoints_check_token || EarlierLeadersCleared();
+}
+
+void GroupLeader::TickOrders(Instant now) {
+  if (!MayCommand()) {
+    return;
+  }
+  for (auto& [id, row] : endpoints_) {
+    if (row.order && now >= row.order_sent + settings_.order_timeout) {
+      FailOrder(now, id, row.order->sequence);
+    }
+    if (!row.order && !IsGone(row) && now >= row.next_order) {
+      SendNextOrder(now, id, row);
+    }
+  }
+}
+
+void GroupLeader::SendNextOrder(Instant now, const InstanceId& id, EndpointRow& row) {
+  EndpointOrder order;
+  order.group = settings_.group;
+  order.leader = self_;
+  order.term = record_.term;
+  order.sequence = next_sequence_++;
+  order.time_to_live = settings_.time_to_live;
+  if (row.confirmed && row.stamp) {
+    order.stamp = row.stamp;
+    AddGrants(id, row, order);
+    const Instant latest = row.stamp_received + settings_.time_to_live + settings_.clock_margin;
+    row.may_hold_until = std::max(row.may_hold_until, latest);
+  }
+  row.order = order;
+  row.order_sent = now;
+  actions_.emplace_back(SendOrder{id, std::move(order)});
+}
+
+void GroupLeader::AddGrants(const InstanceId& id, const EndpointRow& row,
+                            EndpointOrder& order) const {
+  for (const auto& [shard_id, shard] : shards_) {
+    const bool owned = shard.owner && shard.owner->endpoint == id;
+    const auto held = row.held.find(shard_id);
+    const bool is_held = held != row.held.end();
+    const bool keeps =
+        owned && (shard.phase == ShardPhase::kConfirming || shard.phase == ShardPhase::kServing);
+    if (keeps && (!is_held || held->second != shard.owner->epoch)) {
+      order.grants.push_back(ShardGrant{shard_id, shard.owner->epoch});
+    }
+    if (!keeps && is_held) {
+      order.revocations.push_back(shard_id);
+    }
+  }
+}
+
+void GroupLeader::TakeReply(Instant now, const InstanceId& endpoint, std::uint64_t sequence,
+                            const EndpointReply& reply) {
+  const auto found = endpoints_.find(endpoint);
+  const bool expected = phase_ == LeaderPhase::kLeading && found != endpoints_.end() &&
+                        found->second.order && found->second.order->sequence == sequence;
+  if (!expected) {
+    return;
+  }
+  EndpointRow& row = found->second;
+  if (reply.verdict == OrderVerdict::kStaleTerm && reply.term > record_.term) {
+    Say("endpoint " + endpoint.value() + " obeys a later term");
+    Resign(now, std::nullopt);
+    return;
+  }
+  const bool restarted = row.stamp && row.stamp->incarnation != reply.stamp.incarnation;
+  const bool extended = reply.verdict == OrderVerdict::kAccepted && row.order->stamp.has_value();
+  if (restarted) {
+    Say("endpoint " + endpoint.value() + " restarted");
+    row.confirmed = false;
+    row.lease_sure_until = Instant{};
+  }
+  if (extended) {
+    row.lease_sure_until = row.stamp_order_sent + settings_.time_to_live - settings_.clock_margin;
+  }
+  if (reply.verdict == OrderVerdict::kAccepted && !row.fenced) {
+    row.fenced = true;
+    row.sole_since = now;
+    row.may_hold_until =
+        std::max(row.may_hold_until, now + settings_.time_to_live + settings_.clock_margin);
+  }
+  const bool soon = !extended || !row.order->grants.empty() || !row.order->revocations.empty();
+  row.stamp = reply.stamp;
+  row.stamp_received = now;
+  row.stamp_order_sent = row.order_sent;
+  row.order.reset();
+  row.failures = 0;
+  row.leaving = row.leaving || reply.leaving;
+  row.held.clear();
+  for (const ShardGrant& grant : reply.held) {
+    row.held.emplace(grant.shard, grant.epoch);
+  }
+  row.draining = {reply.draining.begin(), reply.draining.end()};
+  row.next_order = soon || !row.draining.empty() ? now + settings_.renew_interval / 10
+                                                 : now + settings_.renew_interval;
+  TickShards(now);
+  BeginWriteIfDue(now);
+}
+
+void GroupLeader::FailOrder(Instant now, const InstanceId& endpoint, std::uint64_t sequence) {
+  const auto found = endpoints_.find(endpoint);
+  const bool expected =
+      found != endpoints_.end() && found->second.order && found->second.order->sequence == sequence;
+  if (!expected) {
+    return;
+  }
+  EndpointRow& row = found->second;
+  if (row.order->stamp) {
+    row.lost_order_until = std::max(
+        row.lost_order_until, row.stamp_received + settings_.time_to_live + settings_.clock_margin);
+  }
+  row.order.reset();
+  row.failures += 1;
+  if (row.failures == kFailuresToDoubt) {
+    Say("endpoint " + endpoint.value() + " does not answer");
+  }
+  row.next_order = now + settings_.renew_interval / 2;
+}
+
+bool GroupLeader::HoldsNothing(const EndpointRow& row, Instant now) const {
+  if (IsGone(row)) {
+    return true;
+  }
+  if (now <= row.may_hold_until) {
+    return false;
+  }
+  if (row.fenced) {
+    return true;
+  }
+  const Instant earlier_grants_end = cleared_at_ + settings_.time_to_live + settings_.clock_margin;
+  return EarlierLeadersCleared() && now > earlier_grants_end;
+}
+
+bool GroupLeader::RevocationFinal(ShardId id, const EndpointRow& row, Instant now) const {
+  const bool given_up = row.fenced && row.failures == 0 && !row.held.contains(id) &&
+                        !row.draining.contains(id) && !row.order;
+  return given_up && (settings_.endpoints_check_token || now > row.lost_order_until);
+}
+
+void GroupLeader::SetPhase(Instant now, ShardRow& shard, ShardPhase phase) {
+  shard.phase = phase;
+  shard.since = now;
+}
+
+void GroupLeader::TickShards(Instant now) {
+  if (phase_ != LeaderPhase::kLeading) {
+    return;
+  }
+  load_.clear();
+  for (const auto& [id, shard] : shards_) {
+    if (shard.target) {
+      ++load_[*shard.target];
+    } else if (shard.owner) {
+      ++load_[shard.owner->endpoint];
+    }
+  }
+  for (auto& [id, shard] : shards_) {
+    AdvanceShard(now, id, shard);
+  }
+}
+
+void GroupLeader::AdvanceShard(Instant now, ShardId id, ShardRow& shard) {
+  if (shard.phase == ShardPhase::kRecording) {
+    return;
+  }
+  if (shard.phase == ShardPhase::kUnassigned) {
+    SetPhase(now, shard, ShardPhase::kReleased);
+  }
+  if (shard.phase != ShardPhase::kReleased) {
+    AdvanceOwned(now, id, shard, endpoints_.at(shard.owner->endpoint));
+  }
+  if (shard.phase != ShardPhase::kReleased) {
+    return;
+  }
+  const bool target_fits = shard.target && endpoints_.contains(*shard.target) &&
+                           TakesShards(endpoints_.at(*shard.target));
+  if (!target_fits) {
+    shard.target = LeastLoaded();
+    if (shard.target) {
+      ++load_[*shard.target];
+    }
+  }
+}
+
+void GroupLeader::AdvanceOwned(Instant now, ShardId id, ShardRow& shard, const EndpointRow& owner) {
+  const auto held = owner.held.find(id);
+  const bool holds = held != owner.held.end() && held->second == shard.owner->epoch;
+  const bool unreachable = IsGone(owner) || owner.failures >= kFailuresToDoubt;
+  if (unreachable && HoldsNothing(owner, now)) {
+    SetPhase(now, shard, ShardPhase::kReleased);
+    return;
+  }
+  if (shard.phase == ShardPhase::kConfirming && holds && owner.confirmed) {
+    SetPhase(now, shard, ShardPhase::kServing);
+  } else if (shard.phase == ShardPhase::kServing && !holds) {
+    SetPhase(now, shard, ShardPhase::kConfirming);
+  }
+  if (shard.phase == ShardPhase::kServing && owner.leaving) {
+    const std::optional<InstanceId> target = LeastLoaded();
+    if (target) {
+      Move(now, id, *target);
+    }
+  }
+  if (shard.phase == ShardPhase::kRevoking && RevocationFinal(id, owner, now)) {
+    SetPhase(now, shard, ShardPhase::kReleased);
+  }
+}
+
+std::optional<InstanceId> GroupLeader::LeastLoaded() const {
+  std::optional<InstanceId> best;
+  std::size_t best_load = 0;
+  for (const auto& [id, row] : endpoints_) {
+    if (!TakesShards(row)) {
+      continue;
+    }
+    const auto found = load_.find(id);
+    const std::size_t load = found == load_.end() ? 0 : found->second;
+    if (!best || load < best_load) {
+      best = id;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+void GroupLeader::Move(Instant now, ShardId shard, const InstanceId& target) {
+  const auto found = shards_.find(shard);
+  const bool movable = found != shards_.end() && found->second.phase == ShardPhase::kServing &&
+                       found->second.owner->endpoint != target && endpoints_.contains(target) &&
+                       TakesShards(endpoints_.at(target));
+  if (!movable) {
+    return;
+  }
+  ShardRow& row = found->second;
+  Say("moves shard " + std::to_string(shard.value) + " from " + row.owner->endpoint.value() +
+      " to " + target.value());
+  row.target = target;
+  ++load_[target];
+  SetPhase(now, row, ShardPhase::kRevoking);
+  endpoints_.at(row.owner->endpoint).next_order = now;
+}
+
+void GroupLeader::BeginWriteIfDue(Instant now) {
+  if (phase_ != LeaderPhase::kLeading || write_ || !MayCommand()) {
+    return;
+  }
+  PendingWrite write;
+  write.record = record_;
+  write.expected = revision_;
+  for (const auto& [id, row] : endpoints_) {
+    if (row.fenced && row.stamp && !row.confirmed) {
+      write.endpoints.push_back({id, row.stamp->incarnation});
+    }
+  }
+  for (auto& [id, shard] : shards_) {
+    if (shard.phase != ShardPhase::kReleased || !shard.target) {
+      continue;
+    }
+    const Epoch epoch{shard.owner ? shard.owner->epoch.value + 1 : 1};
+    write.record.shards[id] = Assignment{*shard.target, epoch};
+    write.shards.push_back(id);
+    SetPhase(now, shard, ShardPhase::kRecording);
+  }
+  if (write.endpoints.empty() && write.shards.empty()) {
+    return;
+  }
+  write.record.change_id = NewChangeId();
+  write_ = std::move(write);
+  SendWrite();
+}
+
+void GroupLeader::CountDemand(ShardId shard) {
+  const auto found = shards_.find(shard);
+  if (found != shards_.end()) {
+    found->second.demand += 1;
+  }
+}
+
+std::optional<ShardRoute> GroupLeader::Route(ShardId shard, Instant now) const {
+  const auto found = shards_.find(shard);
+  if (found == shards_.end() || found->second.phase != ShardPhase::kServing) {
+    return std::nullopt;
+  }
+  const Assignment& owner = *found->second.owner;
+  const EndpointRow& row = endpoints_.at(owner.endpoint);
+  if (now >= row.lease_sure_until) {
+    return std::nullopt;
+  }
+  return ShardRoute{owner.endpoint, owner.epoch, record_.term, row.stamp->incarnation};
+}
+
+std::optional<Instant> GroupLeader::SoleCommandSince(const InstanceId& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  const bool known = found != endpoints_.end() && MayCommand() && found->second.sole_since;
+  return known ? found->second.sole_since : std::nullopt;
+}
+
+std::size_t GroupLeader::UnservedCount(Instant now) const {
+  std::size_t count = 0;
+  for (const auto& [id, shard] : shards_) {
+    count += Route(id, now) ? 0 : 1;
+  }
+  return count;
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,290 @@
+#include "core/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sycamorestall {
+
+namespace {
+
+// An update is sent this many times the logarithm of the member count.
+constexpr double kSpreadFactor = 3;
+
+bool Supersedes(const Member& news, const Member& known) {
+  if (news.process.incarnation != known.process.incarnation) {
+    return news.process.incarnation > known.process.incarnation;
+  }
+  if (news.rank != known.rank) {
+    return news.rank > known.rank;
+  }
+  return news.state > known.state;
+}
+
+}  // namespace
+
+Membership::Membership(MembershipSettings settings, Member self, std::uint64_t seed)
+    : settings_(settings), self_(std::move(self)), random_(seed) {
+  Spread(self_);
+}
+
+int Membership::SendsPerRumour() const {
+  const double members = static_cast<double>(rows_.size()) + 2;
+  return static_cast<int>(std::ceil(kSpreadFactor * std::log2(members)));
+}
+
+void Membership::Spread(const Member& member) {
+  member_rumours_[member.process.instance] = {member, SendsPerRumour()};
+}
+
+void Membership::Announce(const LeaderNotice& notice) {
+  leader_rumours_[notice.group] = {notice, SendsPerRumour() + static_cast<int>(rows_.size())};
+  PingAll();
+}
+
+void Membership::PingAll() {
+  for (const auto& [id, row] : rows_) {
+    if (row.member.state < MemberState::kDead) {
+      Send(row.member.address, GossipKind::kPing, next_sequence_++);
+    }
+  }
+}
+
+void Membership::TakeInstances(Instant now, const InstanceList& list) {
+  std::set<InstanceId> listed;
+  for (const Instance& instance : list.instances) {
+    const bool is_daemon = instance.service.empty();
+    if (!is_daemon || instance.id == self_.process.instance) {
+      continue;
+    }
+    listed.insert(instance.id);
+    if (!rows_.contains(instance.id)) {
+      // The incarnation is learnt from the first answer.
+      Member member{{instance.id, {}}, instance.domain, instance.address, MemberState::kSuspect, 0};
+      rows_[instance.id] = {std::move(member), now};
+      StartProbe(now, instance.id);
+    }
+  }
+  for (const InstanceId& id : listed_before_) {
+    const auto row = rows_.find(id);
+    if (!listed.contains(id) && row != rows_.end()) {
+      row->second.member.state = MemberState::kDead;
+      row->second.since = now;
+    }
+  }
+  listed_before_ = std::move(listed);
+}
+
+void Membership::Learn(Instant now, const Member& member) {
+  if (member.process.instance == self_.process.instance) {
+    Refute(member);
+    return;
+  }
+  const auto found = rows_.find(member.process.instance);
+  if (found != rows_.end() && !Supersedes(member, found->second.member)) {
+    return;
+  }
+  const bool worth_keeping = found != rows_.end() || member.state < MemberState::kDead;
+  if (!worth_keeping) {
+    return;
+  }
+  rows_[member.process.instance] = {member, now};
+  Spread(member);
+}
+
+void Membership::Refute(const Member& rumour) {
+  const bool about_this_start = rumour.process.incarnation == self_.process.incarnation;
+  const bool wrong = rumour.state != MemberState::kAlive && self_.state == MemberState::kAlive;
+  if (!about_this_start || !wrong || rumour.rank < self_.rank) {
+    return;
+  }
+  self_.rank = rumour.rank + 1;
+  Spread(self_);
+}
+
+void Membership::Receive(Instant now, const GossipMessage& message) {
+  Learn(now, message.sender);
+  for (const Member& member : message.members) {
+    Learn(now, member);
+  }
+  notices_.insert(notices_.end(), message.leaders.begin(), message.leaders.end());
+  member_versions_[message.sender.process.instance] = message.versions;
+  const std::string& from = message.sender.address;
+  if (message.kind == GossipKind::kPing) {
+    Send(from, GossipKind::kAck, message.sequence);
+    return;
+  }
+  if (message.kind == GossipKind::kPingRequest) {
+    const auto row = rows_.find(message.target);
+    if (row != rows_.end()) {
+      relays_[next_sequence_] = {from, message.sequence, now};
+      Send(row->second.member.address, GossipKind::kPing, next_sequence_++);
+    }
+    return;
+  }
+  const auto relay = relays_.find(message.sequence);
+  if (relay != relays_.end()) {
+    Send(relay->second.address, GossipKind::kAck, relay->second.sequence);
+    relays_.erase(relay);
+    return;
+  }
+  std::erase_if(probes_, [&](const Probe& probe) { return probe.sequence == message.sequence; });
+}
+
+void Membership::Doubt(Instant now, const InstanceId& instance) {
+  const bool probing = std::any_of(probes_.begin(), probes_.end(),
+                                   [&](const Probe& probe) { return probe.target == instance; });
+  if (rows_.contains(instance) && !probing) {
+    StartProbe(now, instance);
+  }
+}
+
+void Membership::StartProbe(Instant now, const InstanceId& target) {
+  probes_.push_back({target, next_sequence_, now, false});
+  Send(rows_.at(target).member.address, GossipKind::kPing, next_sequence_++);
+}
+
+std::optional<InstanceId> Membership::NextTarget() {
+  while (true) {
+    if (round_.empty()) {
+      for (const auto& [id, row] : rows_) {
+        round_.push_back(id);
+      }
+      std::shuffle(round_.begin(), round_.end(), random_);
+    }
+    if (round_.empty()) {
+      return std::nullopt;
+    }
+    const InstanceId id = round_.back();
+    round_.pop_back();
+    // The dead are probed as well: that is how a healed cut is noticed.
+    if (rows_.contains(id)) {
+      return id;
+    }
+  }
+}
+
+void Membership::AskHelpers() {
+  for (Probe& probe : probes_) {
+    if (probe.helpers_asked) {
+      continue;
+    }
+    probe.helpers_asked = true;
+    std::vector<const Row*> others;
+    for (const auto& [id, row] : rows_) {
+      if (id != probe.target && row.member.state == MemberState::kAlive) {
+        others.push_back(&row);
+      }
+    }
+    std::shuffle(others.begin(), others.end(), random_);
+    others.resize(std::min(others.size(), settings_.helpers));
+    for (const Row* row : others) {
+      Send(row->member.address, GossipKind::kPingRequest, probe.sequence, probe.target);
+    }
+  }
+}
+
+void Membership::FinishProbes(Instant now) {
+  std::vector<Probe> open;
+  for (Probe& probe : probes_) {
+    const auto row = rows_.find(probe.target);
+    if (row == rows_.end()) {
+      continue;
+    }
+    if (now < probe.sent + settings_.probe_period) {
+      open.push_back(probe);
+      continue;
+    }
+    Member& member = row->second.member;
+    if (member.state == MemberState::kAlive) {
+      member.state = MemberState::kSuspect;
+      row->second.since = now;
+      Spread(member);
+    }
+  }
+  probes_ = std::move(open);
+}
+
+void Membership::Tick(Instant now) {
+  const bool ask = std::any_of(probes_.begin(), probes_.end(), [&](const Probe& probe) {
+    return !probe.helpers_asked && now >= probe.sent + settings_.probe_timeout;
+  });
+  if (ask) {
+    AskHelpers();
+  }
+  FinishProbes(now);
+  for (auto& [id, row] : rows_) {
+    if (row.member.state == MemberState::kSuspect && now >= row.since + settings_.suspicion) {
+      row.member.state = MemberState::kDead;
+      row.since = now;
+      Spread(row.member);
+    }
+  }
+  std::erase_if(rows_, [&](const auto& entry) {
+    const bool over = entry.second.member.state >= MemberState::kDead;
+    return over && !listed_before_.contains(entry.first) &&
+           now >= entry.second.since + settings_.forget_after;
+  });
+  std::erase_if(relays_, [&](const auto& entry) {
+    return now >= entry.second.sent + settings_.probe_period;
+  });
+  if (now < next_probe_) {
+    return;
+  }
+  next_probe_ = now + settings_.probe_period;
+  const std::optional<InstanceId> target = NextTarget();
+  if (target) {
+    StartProbe(now, *target);
+  }
+}
+
+void Membership::Leave() {
+  self_.state = MemberState::kLeft;
+  Spread(self_);
+  PingAll();
+}
+
+void Membership::Send(const std::string& address, GossipKind kind, std::uint64_t sequence,
+                      const InstanceId& target) {
+  GossipMessage message{kind, sequence, self_, target, versions_, {}, {}};
+  const auto ride = [this](auto& rumours, auto& updates) {
+    for (auto each = rumours.begin();
+         each != rumours.end() && updates.size() < settings_.updates_per_message;) {
+      updates.push_back(each->second.update);
+      each = --each->second.sends_left <= 0 ? rumours.erase(each) : std::next(each);
+    }
+  };
+  ride(member_rumours_, message.members);
+  ride(leader_rumours_, message.leaders);
+  outgoing_.push_back({address, std::move(message)});
+}
+
+std::vector<OutgoingGossip> Membership::TakeMessages() { return std::exchange(outgoing_, {}); }
+
+std::vector<LeaderNotice> Membership::TakeNotices() { return std::exchange(notices_, {}); }
+
+bool Membership::IsAlive(const ProcessId& process) const {
+  if (process == self_.process) {
+    return true;
+  }
+  const Member* member = Find(process.instance);
+  return member != nullptr && member->process == process && member->state < MemberState::kDead;
+}
+
+std::vector<Member> Membership::Alive() const {
+  std::vector<Member> alive{self_};
+  for (const auto& [id, row] : rows_) {
+    const bool met = row.member.process.incarnation.value != 0;
+    if (met && row.member.state < MemberState::kDead) {
+      alive.push_back(row.member);
+    }
+  }
+  return alive;
+}
+
+const Member* Membership::Find(const InstanceId& instance) const {
+  const auto row = rows_.find(instance);
+  return row == rows_.end() ? nullptr : &row->second.member;
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/metrics/metrics.cc
@@ -0,0 +1,84 @@
+#include "metrics/metrics.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <sstream>
+
+namespace sycamorestall {
+
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+constexpr std::array<double, 3> kQuantiles{0.5, 0.9, 0.99};
+
+using Accumulator = accumulators::accumulator_set<
+    double, accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
+                                accumulators::tag::max, accumulators::tag::extended_p_square>>;
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+// One series of durations, in seconds.
+struct Metrics::Series {
+  Accumulator values{accumulators::tag::extended_p_square::probabilities = kQuantiles};
+
+  void Write(std::ostream& out, const std::string& name, const std::string& labels) const {
+    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+      out << name << "{" << labels << ",quantile=\"" << kQuantiles[i] << "\"} "
+          << accumulators::extended_p_square(values)[i] << "\n";
+    }
+    out << name << "_sum{" << labels << "} " << accumulators::sum(values) << "\n";
+    out << name << "_count{" << labels << "} " << accumulators::count(values) << "\n";
+    out << name << "_max{" << labels << "} " << accumulators::max(values) << "\n";
+  }
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::RecordLatency(const LatencyLabel& label, Duration latency) {
+  std::unique_ptr<Series>& series = latencies_[label];
+  if (!series) {
+    series = std::make_unique<Series>();
+  }
+  series->values(Seconds(latency));
+}
+
+void Metrics::RecordQueueTime(const std::string& service, Duration wait) {
+  std::unique_ptr<Series>& series = queue_times_[service];
+  if (!series) {
+    series = std::make_unique<Series>();
+  }
+  series->values(Seconds(wait));
+}
+
+void Metrics::Count(const std::string& name, double amount) { counters_[name] += amount; }
+
+void Metrics::Set(const std::string& name, double value) { gauges_[name] = value; }
+
+std::string Metrics::Write() const {
+  std::ostringstream out;
+  for (const auto& [label, series] : latencies_) {
+    series->Write(out, "sycamorestall_request_seconds",
+                  "rank=\"" + label.rank + "\",outcome=\"" + ToString(label.outcome) + "\"");
+  }
+  for (const auto& [service, series] : queue_times_) {
+    series->Write(out, "sycamorestall_queue_seconds", "service=\"" + service + "\"");
+  }
+  for (const auto& [name, value] : counters_) {
+    out << "sycamorestall_" << name << " " << value << "\n";
+  }
+  for (const auto& [name, value] : gauges_) {
+    out << "sycamorestall_" << name << " " << value << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/tests/config/placeholder_test.cc
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
--- /dev/null
+++ b/tests/fakes/fake_endpoint.cc
@@ -0,0 +1,234 @@
+#include "fakes/fake_endpoint.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "clock/system_clock.h"
+#include "endpoint/order_json.h"
+
+namespace sycamorestall::fakes {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kConflict = 409;
+constexpr std::uint16_t kUnavailable = 503;
+constexpr int kCrashStatus = 86;
+
+std::int64_t NowNs() { return BootNow().time_since_epoch().count(); }
+
+http::Response Plain(std::uint16_t status, std::string body, const char* outcome) {
+  http::Response response;
+  response.status = status;
+  response.content_type = "application/json";
+  response.body = std::move(body);
+  response.headers.push_back({"Endpoint-Outcome", outcome});
+  return response;
+}
+
+std::uint64_t HeaderNumber(const http::Request& request, const char* name) {
+  const std::string* text = request.header(name);
+  return text == nullptr ? 0 : std::strtoull(text->c_str(), nullptr, 10);
+}
+
+std::string HeaderText(const http::Request& request, const char* name) {
+  const std::string* text = request.header(name);
+  return text == nullptr ? std::string{} : *text;
+}
+
+}  // namespace
+
+FakeEndpoint::FakeEndpoint(std::string id, http::ServerSettings settings,
+                           EndpointBehaviour behaviour)
+    : id_(std::move(id)),
+      started_ns_(NowNs()),
+      behaviour_(std::move(behaviour)),
+      grants_(Incarnation{static_cast<std::uint64_t>(started_ns_)}, behaviour_.checks_token),
+      server_(std::move(settings), *this) {}
+
+void FakeEndpoint::Handle(http::Request request, http::Responder responder) {
+  if (request.path == "/faults") {
+    TakeFaults(request, responder);
+    return;
+  }
+  if (request.path == "/record") {
+    responder.Send(Plain(kOk, Report(), "run"));
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (behaviour_.frozen) {
+      held_back_.emplace_back(std::move(request), responder);
+      return;
+    }
+  }
+  if (request.path == "/control/orders") {
+    TakeOrder(request, responder);
+  } else if (request.path == "/control/health") {
+    responder.Send(Plain(kOk, "{}", "run"));
+  } else if (request.path.starts_with("/requests/")) {
+    Cancel(request.path.substr(std::string("/requests/").size()));
+    responder.Send(Plain(kOk, "{}", "run"));
+  } else if (request.path.starts_with("/run/")) {
+    TakeWork(request, responder);
+  } else {
+    responder.Send(Plain(kNotFound, "{}", "not-run"));
+  }
+}
+
+void FakeEndpoint::TakeOrder(const http::Request& request, const http::Responder& responder) {
+  const std::optional<EndpointOrder> order = ParseOrder(request.body);
+  if (!order) {
+    responder.Send(Plain(kBadRequest, "{}", "not-run"));
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  responder.Send(Plain(kOk, WriteReply(grants_.Take(NowNs(), *order)), "run"));
+}
+
+std::int64_t FakeEndpoint::ServiceTime() const {
+  const std::int64_t age_ms = (NowNs() - started_ns_) / 1'000'000;
+  if (age_ms >= behaviour_.warm_up_ms) {
+    return behaviour_.service_us;
+  }
+  const double left = 1 - static_cast<double>(age_ms) / static_cast<double>(behaviour_.warm_up_ms);
+  const double factor = 1 + (behaviour_.cold_factor - 1) * left;
+  return static_cast<std::int64_t>(static_cast<double>(behaviour_.service_us) * factor);
+}
+
+void FakeEndpoint::TakeWork(const http::Request& request, const http::Responder& responder) {
+  std::string key;
+  http::DecodePercent(request.path.substr(std::string("/run/").size()), key);
+  const ShardId shard{static_cast<std::uint32_t>(HeaderNumber(request, "Endpoint-Shard"))};
+  const Epoch epoch{HeaderNumber(request, "Endpoint-Epoch")};
+  const Term term{HeaderNumber(request, "Endpoint-Term")};
+  std::unique_lock<std::mutex> lock(mutex_);
+  if (!grants_.MayRun(NowNs(), shard, epoch, term)) {
+    ++refused_;
+    responder.Send(Plain(kConflict, R"({"refused":"not the owner"})", "not-run"));
+    return;
+  }
+  const bool full = static_cast<int>(running_.size()) >= behaviour_.slots;
+  if (behaviour_.sheds || full) {
+    ++shed_;
+    responder.Send(Plain(kUnavailable, R"({"refused":"no slot"})", "not-run"));
+    return;
+  }
+  ++runs_;
+  const std::string command = HeaderText(request, "Idempotency-Key");
+  if (!command.empty()) {
+    ++command_runs_[command];
+  }
+  if (!behaviour_.crash_key.empty() && key == behaviour_.crash_key) {
+    std::_Exit(kCrashStatus);
+  }
+  const std::uint64_t number = next_run_++;
+  const json body{{"key", key},
+                  {"endpoint", id_},
+                  {"shard", shard.value},
+                  {"method", http::ToString(request.method)},
+                  {"echo", HeaderText(request, "Endpoint-Echo")},
+                  {"body_bytes", request.body.size()}};
+  Run run{key, command, shard, epoch, term, responder, Plain(kOk, body.dump(), "run"), false};
+  running_.emplace(number, std::move(run));
+  by_request_id_[HeaderText(request, "Endpoint-Request")] = number;
+  grants_.Begin(shard);
+  most_running_ = std::max(most_running_, static_cast<int>(running_.size()));
+  const auto delay = std::chrono::microseconds{ServiceTime()};
+  lock.unlock();
+  runner_.After(delay, [this, number] { Finish(number); });
+}
+
+void FakeEndpoint::Finish(std::uint64_t number) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = running_.find(number);
+  if (found == running_.end()) {
+    return;
+  }
+  const Run run = std::move(found->second);
+  running_.erase(found);
+  std::erase_if(by_request_id_, [number](const auto& entry) { return entry.second == number; });
+  grants_.End(run.shard);
+  const bool silent = !behaviour_.silent_key.empty() && run.key == behaviour_.silent_key;
+  if (!silent) {
+    run.responder.Send(run.answer);
+  }
+}
+
+void FakeEndpoint::Cancel(const std::string& request_id) {
+  std::uint64_t number = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = by_request_id_.find(request_id);
+    if (found == by_request_id_.end()) {
+      return;
+    }
+    number = found->second;
+    ++cancelled_;
+  }
+  Finish(number);
+}
+
+void FakeEndpoint::TakeFaults(const http::Request& request, const http::Responder& responder) {
+  std::vector<std::pair<http::Request, http::Responder>> released;
+  try {
+    const json faults = json::parse(request.body);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    behaviour_.service_us = faults.value("service_us", behaviour_.service_us);
+    behaviour_.slots = faults.value("slots", behaviour_.slots);
+    behaviour_.sheds = faults.value("sheds", behaviour_.sheds);
+    behaviour_.frozen = faults.value("frozen", behaviour_.frozen);
+    behaviour_.leaving = faults.value("leaving", behaviour_.leaving);
+    behaviour_.crash_key = faults.value("crash_key", behaviour_.crash_key);
+    behaviour_.silent_key = faults.value("silent_key", behaviour_.silent_key);
+    behaviour_.lies = faults.value("lies", behaviour_.lies);
+    grants_.SetLeaving(behaviour_.leaving);
+    if (!behaviour_.frozen) {
+      released.swap(held_back_);
+    }
+  } catch (const json::exception&) {
+    responder.Send(Plain(kBadRequest, "{}", "not-run"));
+    return;
+  }
+  responder.Send(Plain(kOk, "{}", "run"));
+  for (auto& [held, held_responder] : released) {
+    Handle(std::move(held), held_responder);
+  }
+}
+
+std::string FakeEndpoint::Report() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  json twice = json::array();
+  for (const auto& [command, count] : command_runs_) {
+    if (count > 1) {
+      twice.push_back(command);
+    }
+  }
+  json commands = json::array();
+  for (const auto& [command, count] : command_runs_) {
+    commands.push_back(command);
+  }
+  json ownership = json::array();
+  for (const Ownership& each : grants_.History(NowNs())) {
+    ownership.push_back({each.shard.value, each.epoch.value, each.from_ns, each.until_ns});
+  }
+  return json{{"endpoint", id_},
+              {"runs", runs_},
+              {"refused", refused_},
+              {"shed", shed_},
+              {"cancelled", cancelled_},
+              {"most_running", most_running_},
+              {"load", behaviour_.lies ? 0 : running_.size()},
+              {"commands", std::move(commands)},
+              {"commands_run_twice", std::move(twice)},
+              {"ownership", std::move(ownership)}}
+      .dump();
+}
+
+}  // namespace sycamorestall::fakes
