Hold requests while their shard has no owner, and balance shards

Cause: after an endpoint died, requests went on being sent to it until its lease had run out and ended refused; commands for a shard in takeover were refused outright; the endpoint that answered first got every shard. Change: a request that reaches nobody puts the endpoint in doubt and waits; whether an earlier leader may have run a command is judged when it would be dispatched, shard by shard (by endpoint it was wrong: a shard may come from an endpoint that was fenced later); first shards wait for the endpoints' answers; a bounded placement moves few shards.

--- a/src/app/explain.cc
+++ b/src/app/explain.cc
@@ -54,6 +54,7 @@
              {"shards", leader.shards().size()},
              {"unserved", leader.UnservedCount(now)},
              {"moves", leader.moves()},
+             {"imbalance", leader.Imbalance(now)},
              {"waiting", runner.waiting()},
              {"running", runner.running()},
              {"earlier_leaders_uncleared", leader.record().earlier_leaders.size()}};
--- a/src/app/group_runner.cc
+++ b/src/app/group_runner.cc
@@ -44,7 +44,8 @@
     : tools_(tools),
       service_(settings.services.at(group.group.service)),
       rank_name_(settings.ranks[service_.rank].name),
-      leader_(Complete(group, settings), std::move(self)),
+      leader_(Complete(group, settings), std::move(self),
+              std::make_unique<BoundedPlacement>(BoundedPlacementSettings{})),
       dispatcher_(DispatchSettings{service_.slots, service_.queue}),
       commands_(IdempotencySettings{settings.command_age_limit, settings.command_clock_margin}),
       retries_(kRetryShare, kRetryBurst),
@@ -214,30 +215,15 @@
   return {request.service, request.customer, *request.command};
 }
 
-std::optional<Answer> GroupRunner::JudgeCommand(const ForwardRequest& request, Instant now) {
-  const std::optional<ShardRoute> route = leader_.Route(request.shard, now);
-  std::optional<WallMilliseconds> sole_since;
-  const WallMilliseconds wall = WallNow();
-  if (route) {
-    const std::optional<Instant> since = leader_.SoleCommandSince(route->endpoint);
-    if (since) {
-      sole_since = wall - std::chrono::duration_cast<WallMilliseconds>(now - *since);
-    }
-  }
-  switch (commands_.Judge(IdOf(request), wall, sole_since)) {
-    case IdempotencyTable::Verdict::kFresh:
+std::optional<Answer> GroupRunner::JudgeCommand(const ForwardRequest& request) {
+  switch (commands_.Judge(IdOf(request), WallNow())) {
+    case IdempotencyTable::Verdict::kNew:
       return std::nullopt;
     case IdempotencyTable::Verdict::kAnswered:
       return *commands_.Find(IdOf(request));
     case IdempotencyTable::Verdict::kOpen:
       return MakeRefusal(kConflict, Outcome::kUnknown, "command-open",
                          "the command was sent before and is still open");
-    case IdempotencyTable::Verdict::kPerhapsRun:
-      if (!route) {
-        return Overloaded(kUnavailable, "no-owner", "no endpoint serves the key at the moment");
-      }
-      return MakeRefusal(kConflict, Outcome::kUnknown, "command-may-have-run",
-                         "an earlier leader may have run the command");
     case IdempotencyTable::Verdict::kTooOld:
       return MakeRefusal(kBadRequest, Outcome::kUnknown, "idempotency-key-too-old",
                          "the Idempotency-Key is too old for it to be known whether it has run");
@@ -250,16 +236,24 @@
   return Overloaded(kUnavailable, "commands-full", "too many commands are remembered");
 }
 
+bool GroupRunner::PerhapsRunBefore(const ForwardRequest& request, Instant now) const {
+  const std::optional<Instant> since = leader_.SoleSince(request.shard);
+  if (!since) {
+    return true;
+  }
+  const WallMilliseconds age = std::chrono::duration_cast<WallMilliseconds>(now - *since);
+  return commands_.PerhapsRunBefore(IdOf(request), WallNow() - age);
+}
+
 RequestNumber GroupRunner::Take(ForwardRequest request, ReplyFunction reply) {
   const RequestNumber number = next_number_;
   next_number_.value += 1;
-  const Instant now = BootNow();
   if (!leads()) {
     reply(Overloaded(kUnavailable, "not-leader", "this daemon does not lead the group"));
     return number;
   }
   if (request.command) {
-    std::optional<Answer> answer = JudgeCommand(request, now);
+    std::optional<Answer> answer = JudgeCommand(request);
     if (answer) {
       log_.Info("request " + request.request_id + " not dispatched: " + answer->reason);
       reply(std::move(*answer));
@@ -267,6 +261,7 @@
     }
     commands_.Open(IdOf(request));
   }
+  const Instant now = BootNow();
   leader_.CountDemand(request.shard);
   retries_.CountFirstTry();
   Work work;
@@ -322,6 +317,12 @@
 void GroupRunner::Dispatch(const struct Dispatch& dispatch) {
   Work& work = work_.at(dispatch.number);
   const Instant now = BootNow();
+  if (work.request.command && PerhapsRunBefore(work.request, now)) {
+    dispatcher_.Finish(dispatch.route.endpoint);
+    Finish(dispatch.number, MakeRefusal(kConflict, Outcome::kUnknown, "command-may-have-run",
+                                        "an earlier leader may have run the command"));
+    return;
+  }
   work.route = dispatch.route;
   work.dispatched = now;
   work.tries += 1;
@@ -339,6 +340,7 @@
   if (work.address.empty()) {
     EndpointResult result;
     result.proved_not_run = true;
+    result.connection_failed = true;
     result.answer = Overloaded(kUnavailable, "endpoint-not-reached", "the endpoint is cut off");
     tools_.loop.Post([this, number, result] { TakeResult(number, result); });
     return;
@@ -349,9 +351,15 @@
 }
 
 bool GroupRunner::MayTryAgain(const Work& work, const EndpointResult& result, Instant now) {
+  const bool in_time = now + service_time_ < work.deadline;
+  if (result.proved_not_run && result.connection_failed) {
+    // It waits until the endpoint answers again or another one owns the shard,
+    // so this is no second load on anything.
+    return in_time && leads() && !work.caller_left;
+  }
   const bool harmless = result.proved_not_run || !work.request.command;
   const bool worthwhile = result.answer.outcome != Outcome::kRun && !work.caller_left &&
-                          work.tries < kMostTries && now + service_time_ < work.deadline;
+                          work.tries < kMostTries && in_time;
   return harmless && worthwhile && leads() && retries_.TakeRetry();
 }
 
@@ -366,6 +374,9 @@
   if (result.answer.outcome == Outcome::kRun) {
     service_time_ += (now - work.dispatched - service_time_) / kAverageSpan;
   }
+  if (result.connection_failed && result.proved_not_run) {
+    leader_.Doubt(now, work.route->endpoint);
+  }
   if (MayTryAgain(work, result, now)) {
     work.fresh_connection = result.connection_failed;
     tools_.metrics.Count("retries_total{service=\"" + work.request.service.value() + "\"}");
--- a/src/app/group_runner.h
+++ b/src/app/group_runner.h
@@ -95,7 +95,8 @@
   void Run(const Explain& action);
   void Run(const Resigned& action);
 
-  std::optional<Answer> JudgeCommand(const ForwardRequest& request, Instant now);
+  std::optional<Answer> JudgeCommand(const ForwardRequest& request);
+  bool PerhapsRunBefore(const ForwardRequest& request, Instant now) const;
   CommandId IdOf(const ForwardRequest& request) const;
   void Enqueue(RequestNumber number);
   void Pump();
--- a/src/core/group_leader.cc
+++ b/src/core/group_leader.cc
@@ -7,8 +7,9 @@
 
 namespace sycamorestall {
 
-GroupLeader::GroupLeader(GroupSettings settings, ProcessId self)
-    : settings_(std::move(settings)), self_(std::move(self)) {
+GroupLeader::GroupLeader(GroupSettings settings, ProcessId self,
+                         std::unique_ptr<PlacementPolicy> placement)
+    : settings_(std::move(settings)), self_(std::move(self)), placement_(std::move(placement)) {
   record_.group = settings_.group;
 }
 
@@ -189,12 +190,16 @@
 void GroupLeader::Lead(Instant now) {
   phase_ = LeaderPhase::kLeading;
   cleared_at_ = now;
+  lead_since_ = now;
   next_step_down_ = now;
+  next_placement_ = now + settings_.placement_interval;
   for (const ShardId id : settings_.shards) {
     ShardRow& shard = shards_[id];
     shard.since = now;
     const auto found = record_.shards.find(id);
     if (found == record_.shards.end()) {
+      // Nobody has ever owned it, so nobody has dispatched for it.
+      shard.sole_since = Instant{};
       continue;
     }
     shard.owner = found->second;
@@ -253,6 +258,7 @@
   }
   TickEarlierLeaders(now);
   TickShards(now);
+  TickPlacement(now);
   BeginWriteIfDue(now);
   TickOrders(now);
 }
--- a/src/core/group_leader.h
+++ b/src/core/group_leader.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "core/group_actions.h"
 #include "core/group_tables.h"
 #include "core/instance_list.h"
+#include "core/placement.h"
 
 namespace sycamorestall {
 
@@ -26,6 +28,10 @@
   std::chrono::milliseconds order_timeout{300};
   std::chrono::milliseconds store_retry{200};
   std::chrono::milliseconds step_down_retry{200};
+  // How often shards are looked at for moves, and over what time an endpoint
+  // that is new to the leader warms up to a full share.
+  std::chrono::milliseconds placement_interval{500};
+  std::chrono::milliseconds warm_up{10000};
 };
 
 // Where to send a request for a shard.
@@ -48,7 +54,7 @@
 // out. docs/design/ownership.md argues why its rules are safe.
 class GroupLeader {
  public:
-  GroupLeader(GroupSettings settings, ProcessId self);
+  GroupLeader(GroupSettings settings, ProcessId self, std::unique_ptr<PlacementPolicy> placement);
 
   // Starts taking the group over; does nothing while it leads or tries to.
   void Claim(Instant now);
@@ -75,6 +81,9 @@
 
   // Asks for a shard to be moved; ignored unless it is being served.
   void Move(Instant now, ShardId shard, const InstanceId& target);
+  // A request could not reach the endpoint: nothing goes there until an order,
+  // sent at once, has been answered.
+  void Doubt(Instant now, const InstanceId& endpoint);
   // Counts a request for a shard.
   void CountDemand(ShardId shard);
   // Runs what time alone brings about.
@@ -92,9 +101,11 @@
   const EndpointTable& endpoints() const { return endpoints_; }
   const ShardTable& shards() const { return shards_; }
   const GroupRecord& record() const { return record_; }
-  // The moment from which only this leader can have dispatched to the endpoint;
-  // empty while that is not known.
-  std::optional<Instant> SoleCommandSince(const InstanceId& endpoint) const;
+  // The moment from which only this leader can have dispatched requests of the
+  // shard; empty while that is not known.
+  std::optional<Instant> SoleSince(ShardId shard) const;
+  // The largest load over the mean, by this leader's counts; 1 is perfect.
+  double Imbalance(Instant now) const;
   // How many shards have no endpoint that serves them.
   std::size_t UnservedCount(Instant now) const;
   // How many shards changed owner under this leader.
@@ -128,6 +139,7 @@
   void TickEarlierLeaders(Instant now);
   void TickOrders(Instant now);
   void TickShards(Instant now);
+  void TickPlacement(Instant now);
   void BeginWriteIfDue(Instant now);
 
   void SendNextOrder(Instant now, const InstanceId& id, EndpointRow& row);
@@ -136,6 +148,10 @@
   void AdvanceOwned(Instant now, ShardId id, ShardRow& shard, const EndpointRow& owner);
   void SetPhase(Instant now, ShardRow& shard, ShardPhase phase);
   std::optional<InstanceId> LeastLoaded() const;
+  bool MayAssign(Instant now) const;
+  double Weight(const ShardRow& shard) const;
+  std::vector<PlacementTarget> Targets(Instant now) const;
+  std::vector<PlacedShard> PlacedShards() const;
 
   bool EarlierLeadersCleared() const { return record_.earlier_leaders.empty(); }
   // Whether orders may be sent at all.
@@ -158,7 +174,11 @@
   std::uint64_t next_change_ = 1;
   std::uint64_t list_revision_ = 0;
   std::uint64_t moves_ = 0;
-  std::map<InstanceId, std::size_t> load_;
+  std::unique_ptr<PlacementPolicy> placement_;
+  Instant lead_since_;
+  Instant next_placement_;
+  double mean_demand_ = 0;
+  std::map<InstanceId, double> load_;
   EndpointTable endpoints_;
   ShardTable shards_;
   std::vector<GroupAction> actions_;
--- a/src/core/group_leader_shards.cc
+++ b/src/core/group_leader_shards.cc
@@ -10,6 +10,10 @@
 
 // Without an answer for this many orders an endpoint counts as unreachable.
 constexpr std::uint32_t kFailuresToDoubt = 2;
+// What a newcomer carries of a full share at first.
+constexpr double kColdShare = 0.2;
+// What is left of a shard's counted demand after each placement interval.
+constexpr double kDemandFade = 0.95;
 
 bool IsGone(const EndpointRow& row) { return row.seen_live && !row.listed; }
 
@@ -98,7 +102,7 @@
   }
   if (reply.verdict == OrderVerdict::kAccepted && !row.fenced) {
     row.fenced = true;
-    row.sole_since = now;
+    row.fenced_at = now;
     row.may_hold_until =
         std::max(row.may_hold_until, now + settings_.time_to_live + settings_.clock_margin);
   }
@@ -108,6 +112,7 @@
   row.stamp_order_sent = row.order_sent;
   row.order.reset();
   row.failures = 0;
+  row.doubted = false;
   row.leaving = row.leaving || reply.leaving;
   row.held.clear();
   for (const ShardGrant& grant : reply.held) {
@@ -169,12 +174,17 @@
   if (phase_ != LeaderPhase::kLeading) {
     return;
   }
+  double demand = 0;
+  for (const auto& [id, shard] : shards_) {
+    demand += shard.demand;
+  }
+  mean_demand_ = shards_.empty() ? 0 : demand / static_cast<double>(shards_.size());
   load_.clear();
   for (const auto& [id, shard] : shards_) {
     if (shard.target) {
-      ++load_[*shard.target];
+      load_[*shard.target] += Weight(shard);
     } else if (shard.owner) {
-      ++load_[shard.owner->endpoint];
+      load_[shard.owner->endpoint] += Weight(shard);
     }
   }
   for (auto& [id, shard] : shards_) {
@@ -186,10 +196,10 @@
   if (shard.phase == ShardPhase::kRecording) {
     return;
   }
-  if (shard.phase == ShardPhase::kUnassigned) {
+  if (shard.phase == ShardPhase::kUnassigned && MayAssign(now)) {
     SetPhase(now, shard, ShardPhase::kReleased);
   }
-  if (shard.phase != ShardPhase::kReleased) {
+  if (shard.owner && shard.phase != ShardPhase::kReleased) {
     AdvanceOwned(now, id, shard, endpoints_.at(shard.owner->endpoint));
   }
   if (shard.phase != ShardPhase::kReleased) {
@@ -200,16 +210,34 @@
   if (!target_fits) {
     shard.target = LeastLoaded();
     if (shard.target) {
-      ++load_[*shard.target];
+      load_[*shard.target] += Weight(shard);
     }
   }
 }
 
+bool GroupLeader::MayAssign(Instant now) const {
+  // The first shards go out when the endpoints have had time to answer, so that
+  // the quickest one does not get them all.
+  const bool waited = now >= lead_since_ + settings_.order_timeout;
+  const bool all_met = std::all_of(endpoints_.begin(), endpoints_.end(), [](const auto& entry) {
+    return !entry.second.listed || entry.second.fenced;
+  });
+  return !endpoints_.empty() && (waited || all_met);
+}
+
+double GroupLeader::Weight(const ShardRow& shard) const {
+  return ShardWeight(shard.demand, mean_demand_);
+}
+
 void GroupLeader::AdvanceOwned(Instant now, ShardId id, ShardRow& shard, const EndpointRow& owner) {
   const auto held = owner.held.find(id);
   const bool holds = held != owner.held.end() && held->second == shard.owner->epoch;
+  if (owner.fenced && !shard.sole_since) {
+    shard.sole_since = owner.fenced_at;
+  }
   const bool unreachable = IsGone(owner) || owner.failures >= kFailuresToDoubt;
   if (unreachable && HoldsNothing(owner, now)) {
+    shard.sole_since = shard.sole_since.value_or(now);
     SetPhase(now, shard, ShardPhase::kReleased);
     return;
   }
@@ -231,13 +259,13 @@
 
 std::optional<InstanceId> GroupLeader::LeastLoaded() const {
   std::optional<InstanceId> best;
-  std::size_t best_load = 0;
+  double best_load = 0;
   for (const auto& [id, row] : endpoints_) {
     if (!TakesShards(row)) {
       continue;
     }
     const auto found = load_.find(id);
-    const std::size_t load = found == load_.end() ? 0 : found->second;
+    const double load = found == load_.end() ? 0 : found->second;
     if (!best || load < best_load) {
       best = id;
       best_load = load;
@@ -258,7 +286,7 @@
   Say("moves shard " + std::to_string(shard.value) + " from " + row.owner->endpoint.value() +
       " to " + target.value());
   row.target = target;
-  ++load_[target];
+  load_[target] += Weight(row);
   SetPhase(now, row, ShardPhase::kRevoking);
   endpoints_.at(row.owner->endpoint).next_order = now;
 }
@@ -306,16 +334,68 @@
   }
   const Assignment& owner = *found->second.owner;
   const EndpointRow& row = endpoints_.at(owner.endpoint);
-  if (now >= row.lease_sure_until) {
+  if (row.doubted || now >= row.lease_sure_until) {
     return std::nullopt;
   }
   return ShardRoute{owner.endpoint, owner.epoch, record_.term, row.stamp->incarnation};
 }
 
-std::optional<Instant> GroupLeader::SoleCommandSince(const InstanceId& endpoint) const {
+std::optional<Instant> GroupLeader::SoleSince(ShardId shard) const {
+  const auto found = shards_.find(shard);
+  return found == shards_.end() ? std::nullopt : found->second.sole_since;
+}
+
+void GroupLeader::Doubt(Instant now, const InstanceId& endpoint) {
   const auto found = endpoints_.find(endpoint);
-  const bool known = found != endpoints_.end() && MayCommand() && found->second.sole_since;
-  return known ? found->second.sole_since : std::nullopt;
+  if (found == endpoints_.end() || found->second.doubted) {
+    return;
+  }
+  found->second.doubted = true;
+  found->second.next_order = now;
+  Say("endpoint " + endpoint.value() + " was not reached by a request");
+}
+
+std::vector<PlacementTarget> GroupLeader::Targets(Instant now) const {
+  std::vector<PlacementTarget> targets;
+  for (const auto& [id, row] : endpoints_) {
+    if (!TakesShards(row)) {
+      continue;
+    }
+    const double age = std::chrono::duration<double>(now - row.fenced_at).count();
+    const double warm_up = std::chrono::duration<double>(settings_.warm_up).count();
+    // What the leader found in place at its start is taken for warm.
+    const bool newcomer = row.fenced_at > lead_since_ + settings_.time_to_live;
+    const double share = newcomer ? std::clamp(age / warm_up, kColdShare, 1.0) : 1.0;
+    targets.push_back({id, share});
+  }
+  return targets;
+}
+
+std::vector<PlacedShard> GroupLeader::PlacedShards() const {
+  std::vector<PlacedShard> placed;
+  for (const auto& [id, shard] : shards_) {
+    if (shard.phase == ShardPhase::kServing) {
+      placed.push_back({id, shard.owner->endpoint, shard.demand});
+    }
+  }
+  return placed;
+}
+
+double GroupLeader::Imbalance(Instant now) const {
+  return sycamorestall::Imbalance(Targets(now), PlacedShards());
+}
+
+void GroupLeader::TickPlacement(Instant now) {
+  if (now < next_placement_) {
+    return;
+  }
+  next_placement_ = now + settings_.placement_interval;
+  for (const PlannedMove& move : placement_->Plan(now, Targets(now), PlacedShards())) {
+    Move(now, move.shard, move.target);
+  }
+  for (auto& [id, shard] : shards_) {
+    shard.demand *= kDemandFade;
+  }
 }
 
 std::size_t GroupLeader::UnservedCount(Instant now) const {
--- a/src/core/group_tables.h
+++ b/src/core/group_tables.h
@@ -23,7 +23,7 @@
   bool fenced = false;
   // When it first did; an endpoint that checks runs no request of an older term
   // after that.
-  std::optional<Instant> sole_since;
+  Instant fenced_at;
   // A write under this term began after the stamp's incarnation had answered, and
   // took effect: no later leader can have fenced an earlier start of it unseen.
   bool confirmed = false;
@@ -42,6 +42,8 @@
   // Orders without an answer may still arrive until then.
   Instant lost_order_until;
   std::uint32_t failures = 0;
+  // A request could not reach it: nothing is sent until an order is answered.
+  bool doubted = false;
   std::map<ShardId, Epoch> held;
   std::set<ShardId> draining;
 };
@@ -68,6 +70,9 @@
   std::optional<Assignment> owner;
   std::optional<InstanceId> target;
   Instant since;
+  // From when on only this leader can have dispatched requests of the shard;
+  // empty while an earlier leader may still do so.
+  std::optional<Instant> sole_since;
   // Requests counted lately, fading with time.
   double demand = 0;
 };
--- a/src/core/idempotency_table.cc
+++ b/src/core/idempotency_table.cc
@@ -6,8 +6,8 @@
 
 namespace sycamorestall {
 
-IdempotencyTable::Verdict IdempotencyTable::Judge(
-    const CommandId& id, WallMilliseconds now, std::optional<WallMilliseconds> sole_since) const {
+IdempotencyTable::Verdict IdempotencyTable::Judge(const CommandId& id,
+                                                  WallMilliseconds now) const {
   const WallMilliseconds created = id.key.created();
   if (created > now + settings_.clock_margin) {
     return Verdict::kTooNew;
@@ -19,12 +19,13 @@
   if (created < now - settings_.age_limit) {
     return Verdict::kTooOld;
   }
+  return entries_.size() >= settings_.capacity ? Verdict::kFull : Verdict::kNew;
+}
+
+bool IdempotencyTable::PerhapsRunBefore(const CommandId& id, WallMilliseconds sole_since) const {
   // An earlier leader refused keys further ahead of its clock than the margin,
-  // so a key beyond sole_since plus the margin was never dispatched by it.
-  if (!sole_since || created <= *sole_since + settings_.clock_margin) {
-    return Verdict::kPerhapsRun;
-  }
-  return entries_.size() >= settings_.capacity ? Verdict::kFull : Verdict::kFresh;
+  // so it never dispatched a key beyond sole_since plus the margin.
+  return id.key.created() <= sole_since + settings_.clock_margin;
 }
 
 void IdempotencyTable::Open(const CommandId& id) {
--- a/src/core/idempotency_table.h
+++ b/src/core/idempotency_table.h
@@ -36,14 +36,13 @@
  public:
   // What to do with a command that has just come in.
   enum class Verdict {
-    // Never seen, and nobody else can have dispatched it: it may be dispatched.
-    kFresh,
+    // Not remembered here; whether an earlier leader may have dispatched it is
+    // judged by PerhapsRunBefore.
+    kNew,
     // Dispatched or queued before and still open.
     kOpen,
     // Answered before; Find gives the answer.
     kAnswered,
-    // An earlier leader may have dispatched it.
-    kPerhapsRun,
     // Created too long ago to be remembered.
     kTooOld,
     // Created further in the future than clocks may differ.
@@ -54,11 +53,11 @@
 
   explicit IdempotencyTable(IdempotencySettings settings) : settings_(settings) {}
 
-  // Judges a command. Commands created before sole_since may have been
-  // dispatched by an earlier leader; an empty optional says that this is so for
-  // all of them.
-  Verdict Judge(const CommandId& id, WallMilliseconds now,
-                std::optional<WallMilliseconds> sole_since) const;
+  // Judges a command that has just come in.
+  Verdict Judge(const CommandId& id, WallMilliseconds now) const;
+  // Whether an earlier leader may have dispatched a command, given the moment
+  // from which this one alone commands the shard's owner.
+  bool PerhapsRunBefore(const CommandId& id, WallMilliseconds sole_since) const;
 
   // Remembers a command before it is dispatched.
   void Open(const CommandId& id);
