--- a/tests/fakes/grant_table.cc
+++ b/tests/fakes/grant_table.cc
@@ -10,11 +10,7 @@
   reply.term = term_;
   reply.stamp = {incarnation_, now_ns};
   reply.leaving = leaving_;
-  for (const auto& [shard, ownership] : held_) {
-    if (ownership.until_ns > now_ns) {
-      reply.held.push_back({shard, ownership.epoch});
-    }
-  }
+  reply.held = Held(now_ns);
   for (const auto& [shard, count] : running_) {
     const auto held = held_.find(shard);
     const bool is_held = held != held_.end() && held->second.until_ns > now_ns;
@@ -25,6 +21,16 @@
   return reply;
 }
 
+std::vector<ShardGrant> GrantTable::Held(std::int64_t now_ns) const {
+  std::vector<ShardGrant> held;
+  for (const auto& [shard, ownership] : held_) {
+    if (ownership.until_ns > now_ns) {
+      held.push_back({shard, ownership.epoch});
+    }
+  }
+  return held;
+}
+
 EndpointReply GrantTable::Take(std::int64_t now_ns, const EndpointOrder& order) {
   if (checks_token_) {
     if (order.term < term_) {
--- a/tests/fakes/grant_table.h
+++ b/tests/fakes/grant_table.h
@@ -36,6 +36,8 @@
   // Says in replies that the endpoint leaves.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
 
+  // The grants that are live now.
+  std::vector<ShardGrant> Held(std::int64_t now_ns) const;
   // Every stretch of ownership so far.
   std::vector<Ownership> History(std::int64_t now_ns) const;
 
