--- a/tests/core/ownership_random_test.cc
+++ b/tests/core/ownership_random_test.cc
@@ -19,7 +19,7 @@
                                 [](int kind) { return static_cast<FaultKind>(kind); })),
       rc::gen::set(&Fault::at_ms, rc::gen::inRange(0, kLongestMs)),
       rc::gen::set(&Fault::first, rc::gen::inRange(0, 12)),
-      rc::gen::set(&Fault::second, rc::gen::inRange(0, 12)),
+      rc::gen::set(&Fault::second, rc::gen::inRange(0, 24)),
       rc::gen::set(&Fault::lasts_ms, rc::gen::inRange(0, kLongestFaultMs)));
 }
 
@@ -66,6 +66,12 @@
        {{FaultKind::kFreezeEndpoint, 1000, 0, 0, 3000},
         {FaultKind::kFreezeEndpoint, 1000, 0, 1, 3000},
         {FaultKind::kDelayMessages, 900, 0, 0, 4000}}},
+      {"a grant arrives after the revocation of its shard",
+       {{FaultKind::kMove, 1000, 0, 6, 0},
+        {FaultKind::kMove, 1500, 0, 12, 0},
+        {FaultKind::kHoldGrant, 2000, 0, 1, 620},
+        {FaultKind::kMove, 2001, 0, 6, 0},
+        {FaultKind::kMove, 2500, 0, 12, 0}}},
       {"a leader is paused between its proof and its write",
        {{FaultKind::kFreezeEndpoint, 1000, 0, 1, 4000},
         {FaultKind::kPauseLeader, 2050, 0, 0, 3000},
--- a/tests/core/ownership_world.cc
+++ b/tests/core/ownership_world.cc
@@ -180,6 +180,11 @@
   if (cut || endpoints_[endpoint].gone || Lost()) {
     return;
   }
+  if (!send.order.grants.empty() && endpoints_[endpoint].hold_grant_ns > 0) {
+    At(now_ns_ + std::exchange(endpoints_[endpoint].hold_grant_ns, 0),
+       [this, index, endpoint, order = send.order] { ArriveOrder(index, endpoint, order); });
+    return;
+  }
   const int copies = random_() % 10 == 0 ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     At(now_ns_ + Delay(),
@@ -339,10 +344,14 @@
       ToLeader(leader, [](GroupLeader& node, Instant now) { node.Claim(now); });
       break;
     case FaultKind::kMove:
-      ToLeader(leader, [endpoint](GroupLeader& node, Instant now) {
-        node.Move(now, ShardId{static_cast<std::uint32_t>(endpoint)}, EndpointName(endpoint));
+      ToLeader(leader, [&fault](GroupLeader& node, Instant now) {
+        const ShardId shard{static_cast<std::uint32_t>(fault.second % kShards)};
+        node.Move(now, shard, EndpointName(fault.second / kShards % kEndpoints));
       });
       break;
+    case FaultKind::kHoldGrant:
+      endpoints_[endpoint].hold_grant_ns = fault.lasts_ms * kMs;
+      break;
     case FaultKind::kHandOver:
       ToLeader(leader, [](GroupLeader& node, Instant now) { node.Resign(now, std::nullopt); });
       break;
@@ -398,9 +407,10 @@
   if (!calm_ && random_() % kStepsBetweenMoves == 0) {
     const ShardId shard{static_cast<std::uint32_t>(random_() % kShards)};
     const int target = static_cast<int>(random_() % kEndpoints);
-    ToLeader(static_cast<int>(random_() % kLeaders), [shard, target](GroupLeader& leader, Instant now) {
-      leader.Move(now, shard, EndpointName(target));
-    });
+    ToLeader(static_cast<int>(random_() % kLeaders),
+             [shard, target](GroupLeader& leader, Instant now) {
+               leader.Move(now, shard, EndpointName(target));
+             });
   }
   Check();
 }
--- a/tests/core/ownership_world.h
+++ b/tests/core/ownership_world.h
@@ -30,7 +30,10 @@
   kLoseMessages,
   kDelayMessages,
   kClaim,
+  // Moves shard second mod 6 to endpoint second / 6.
   kMove,
+  // The next order that grants something to the endpoint arrives late.
+  kHoldGrant,
   kHandOver,
 };
 inline constexpr int kFaultKinds = static_cast<int>(FaultKind::kHandOver) + 1;
@@ -85,6 +88,7 @@
     std::int64_t dead_until = 0;
     bool gone = false;
     double clock_rate = 1;
+    std::int64_t hold_grant_ns = 0;
   };
   // A request that a leader sent to an endpoint and that ran there.
   struct RanRequest {
--- a/tests/fakes/fake_endpoint.cc
+++ b/tests/fakes/fake_endpoint.cc
@@ -50,7 +50,17 @@
       started_ns_(NowNs()),
       behaviour_(std::move(behaviour)),
       grants_(Incarnation{static_cast<std::uint64_t>(started_ns_)}, behaviour_.checks_token),
-      server_(std::move(settings), *this) {}
+      server_(std::move(settings), *this) {
+  if (!behaviour_.journal.empty()) {
+    journal_.open(behaviour_.journal, std::ios::app);
+  }
+}
+
+void FakeEndpoint::Note(const std::string& line) {
+  if (journal_.is_open()) {
+    journal_ << line << "\n" << std::flush;
+  }
+}
 
 void FakeEndpoint::Handle(http::Request request, http::Responder responder) {
   if (request.path == "/faults") {
@@ -89,7 +99,18 @@
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  responder.Send(Plain(kOk, WriteReply(grants_.Take(NowNs(), *order)), "run"));
+  const std::int64_t now = NowNs();
+  const EndpointReply reply = grants_.Take(now, *order);
+  if (journal_.is_open()) {
+    for (const Ownership& each : grants_.Current()) {
+      Note("own " + std::to_string(each.shard.value) + " " + std::to_string(each.epoch.value) +
+           " " + std::to_string(each.from_ns) + " " + std::to_string(each.until_ns));
+    }
+    for (const ShardId shard : order->revocations) {
+      Note("end " + std::to_string(shard.value) + " " + std::to_string(now));
+    }
+  }
+  responder.Send(Plain(kOk, WriteReply(reply), "run"));
 }
 
 std::int64_t FakeEndpoint::ServiceTime() const {
@@ -124,6 +145,7 @@
   const std::string command = HeaderText(request, "Idempotency-Key");
   if (!command.empty()) {
     ++command_runs_[command];
+    Note("run " + command);
   }
   if (!behaviour_.crash_key.empty() && key == behaviour_.crash_key) {
     std::_Exit(kCrashStatus);
--- a/tests/fakes/fake_endpoint.h
+++ b/tests/fakes/fake_endpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,6 +38,8 @@
   std::string silent_key;
   // Reports an invented load.
   bool lies = false;
+  // Where to write down what it owned and ran, so that this outlives a kill.
+  std::string journal;
 };
 
 // A stand-in for an endpoint: obeys grants, runs requests in slots and keeps a
@@ -71,6 +74,7 @@
   void Cancel(const std::string& request_id);
   std::string Report();
   std::int64_t ServiceTime() const;
+  void Note(const std::string& line);
 
   std::string id_;
   std::int64_t started_ns_;
@@ -88,6 +92,7 @@
   std::uint64_t cancelled_ = 0;
   std::uint64_t next_run_ = 1;
   int most_running_ = 0;
+  std::ofstream journal_;
   DelayedRunner runner_;
   http::HttpServer server_;
 };
--- a/tests/fakes/grant_table.cc
+++ b/tests/fakes/grant_table.cc
@@ -88,6 +88,14 @@
   }
 }
 
+std::vector<Ownership> GrantTable::Current() const {
+  std::vector<Ownership> current;
+  for (const auto& [shard, ownership] : held_) {
+    current.push_back(ownership);
+  }
+  return current;
+}
+
 std::vector<Ownership> GrantTable::History(std::int64_t now_ns) const {
   std::vector<Ownership> history = past_;
   for (const auto& [shard, ownership] : held_) {
--- a/tests/fakes/grant_table.h
+++ b/tests/fakes/grant_table.h
@@ -38,6 +38,8 @@
 
   // The grants that are live now.
   std::vector<ShardGrant> Held(std::int64_t now_ns) const;
+  // The stretches of ownership that may go on.
+  std::vector<Ownership> Current() const;
   // Every stretch of ownership so far.
   std::vector<Ownership> History(std::int64_t now_ns) const;
 
--- a/tests/fakes/main.cc
+++ b/tests/fakes/main.cc
@@ -42,6 +42,7 @@
   endpoint->add_option("--service-us", behaviour.service_us, "Service time in microseconds.");
   endpoint->add_option("--slots", behaviour.slots, "Requests run at a time.");
   endpoint->add_option("--checks-token", behaviour.checks_token, "Whether old terms are refused.");
+  endpoint->add_option("--journal", behaviour.journal, "File to write runs and grants to.");
   endpoint->add_option("--cold-factor", behaviour.cold_factor, "Slowness at the start.");
   endpoint->add_option("--warm-up-ms", behaviour.warm_up_ms, "How long it stays slow.");
   CLI::App* callers = app.add_subcommand("callers", "Asks daemons at a steady rate.");
--- /dev/null
+++ b/tests/process/path_test.cc
@@ -0,0 +1,127 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "clock/system_clock.h"
+#include "core/uuid_v7.h"
+#include "http/http_client.h"
+#include "process/deployment.h"
+
+using namespace sycamorestall;           // NOLINT
+using namespace sycamorestall::testing;  // NOLINT
+
+namespace {
+
+std::string NewKey(std::chrono::milliseconds shift = {}) {
+  static std::mt19937_64 random(7);
+  return ToString(MakeUuidV7(WallNow() + shift, random(), random()));
+}
+
+http::CallResult Ask(const std::string& url, http::Method method,
+                     const std::vector<http::Header>& headers, const std::string& body = {}) {
+  http::Call call;
+  call.url = url;
+  call.method = method;
+  call.headers = headers;
+  call.body = body;
+  call.timeout = std::chrono::seconds{3};
+  call.idempotent = false;
+  return http::CallAndWait(std::move(call));
+}
+
+std::string OutcomeOf(const http::CallResult& result) {
+  const std::string* outcome = http::FindHeader(result.headers, "Sycamorestall-Outcome");
+  return outcome == nullptr ? "" : *outcome;
+}
+
+std::string CodeOf(const http::CallResult& result) {
+  const auto body = nlohmann::json::parse(result.body, nullptr, false);
+  return body.is_object() && body.contains("error") ? body["error"].value("code", "") : "";
+}
+
+}  // namespace
+
+TEST_CASE("every request gets an answer that says what became of it") {
+  Deployment deployment{DeploymentPlan{{"north"}, 1, 1, true, 1000, 6}};
+  REQUIRE(deployment.WaitUntilServed());
+  const std::string origin = deployment.origins().front();
+  const http::Header cafe{"Sycamorestall-Customer", "cafe"};
+  struct Row {
+    std::string name;
+    http::Method method;
+    std::string path;
+    std::vector<http::Header> headers;
+    std::string body;
+    int status;
+    std::string outcome;
+    std::string code;
+  };
+  const std::string soil = "/v1/services/soil/keys/";
+  const std::string pumps = "/v1/services/pumps/keys/";
+  const Row rows[] = {
+      {"read", http::Method::kGet, soil + "a", {cafe}, "", 200, "run", ""},
+      {"key in UTF-8", http::Method::kGet, soil + "d%C5%B5r%2F1", {cafe}, "", 200, "run", ""},
+      {"command", http::Method::kPost, pumps + "a", {cafe, {"Idempotency-Key", NewKey()}}, "x", 200,
+       "run", ""},
+      {"read of commands", http::Method::kGet, pumps + "a", {cafe}, "", 200, "run", ""},
+      {"key not UTF-8", http::Method::kGet, soil + "%FF", {cafe}, "", 400, "not-run", "bad-key"},
+      {"bad percent", http::Method::kGet, soil + "%4", {cafe}, "", 400, "not-run", "bad-key"},
+      {"no key", http::Method::kGet, soil, {cafe}, "", 400, "not-run", "bad-key"},
+      {"long key", http::Method::kGet, soil + std::string(513, 'k'), {cafe}, "", 400, "not-run",
+       "key-too-long"},
+      {"unknown service", http::Method::kGet, "/v1/services/tea/keys/a", {cafe}, "", 404, "not-run",
+       "unknown-service"},
+      {"no customer", http::Method::kGet, soil + "a", {}, "", 400, "not-run", "customer-missing"},
+      {"unknown customer", http::Method::kGet, soil + "a", {{"Sycamorestall-Customer", "bar"}}, "",
+       403, "not-run", "unknown-customer"},
+      {"no idempotency key", http::Method::kPost, pumps + "a", {cafe}, "x", 400, "not-run",
+       "idempotency-key-missing"},
+      {"bad idempotency key", http::Method::kPost, pumps + "a", {cafe, {"Idempotency-Key", "1"}},
+       "x", 400, "not-run", "idempotency-key-bad"},
+      {"version 4", http::Method::kPost, pumps + "a",
+       {cafe, {"Idempotency-Key", "0193a5f0-0000-4000-8000-000000000000"}}, "x", 400, "not-run",
+       "idempotency-key-bad"},
+      {"key from the future", http::Method::kPost, pumps + "a",
+       {cafe, {"Idempotency-Key", NewKey(std::chrono::hours{1})}}, "x", 400, "not-run",
+       "idempotency-key-in-future"},
+      // Whether so old a key has ever run is not known, so it is not said.
+      {"old key", http::Method::kPost, pumps + "a",
+       {cafe, {"Idempotency-Key", NewKey(std::chrono::hours{-1})}}, "x", 400, "unknown",
+       "idempotency-key-too-old"},
+      {"bad timeout", http::Method::kGet, soil + "a", {cafe, {"Sycamorestall-Timeout-Ms", "soon"}},
+       "", 400, "not-run", "bad-timeout"},
+      {"large body", http::Method::kPut, soil + "a", {cafe}, std::string(70000, 'x'), 413,
+       "not-run", "body-too-large"},
+      {"unknown path", http::Method::kGet, "/v1/service/soil", {cafe}, "", 404, "not-run",
+       "unknown-path"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const http::CallResult result = Ask(origin + row.path, row.method, row.headers, row.body);
+    CHECK(result.status == row.status);
+    CHECK(OutcomeOf(result) == row.outcome);
+    CHECK(CodeOf(result) == row.code);
+  }
+}
+
+TEST_CASE("a command that is sent again gets its first answer and runs once") {
+  Deployment deployment{DeploymentPlan{{"north"}, 2, 1, true, 1000, 6}};
+  REQUIRE(deployment.WaitUntilServed());
+  const std::string path = "/v1/services/pumps/keys/fern";
+  for (int i = 0; i < 20; ++i) {
+    const std::vector<http::Header> headers{{"Sycamorestall-Customer", "cafe"},
+                                            {"Idempotency-Key", NewKey()}};
+    std::vector<std::string> bodies;
+    for (const std::string& origin : deployment.origins()) {
+      const http::CallResult result = Ask(origin + path, http::Method::kPost, headers, "x");
+      CHECK(OutcomeOf(result) == "run");
+      bodies.push_back(result.body);
+    }
+    CHECK(bodies.front() == bodies.back());
+  }
+  CHECK(deployment.FindViolation() == std::string{});
+}
