--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -54,6 +54,8 @@
 Result Play(PlacementPolicy& policy, Scenario scenario) {
   std::vector<PlacedShard> shards;
   std::vector<PlacementTarget> targets;
+  shards.reserve(kShards);
+  targets.reserve(kEndpoints + 1);
   const auto name = [](int i) { return InstanceId{"endpoint-" + std::to_string(i)}; };
   for (int i = 0; i < kEndpoints; ++i) {
     targets.push_back({name(i), 1});
--- a/src/app/group_runner.cc
+++ b/src/app/group_runner.cc
@@ -24,7 +24,8 @@
 // Weight of the newest measurement in the moving average of service times.
 constexpr int kAverageSpan = 16;
 
-GroupSettings Complete(GroupSettings group, const Settings& settings) {
+GroupSettings Complete(const GroupSettings& incomplete, const Settings& settings) {
+  GroupSettings group = incomplete;
   group.time_to_live = settings.leases.time_to_live;
   group.clock_margin = settings.leases.clock_margin;
   group.renew_interval = settings.leases.renew_interval;
--- a/src/app/group_runner.h
+++ b/src/app/group_runner.h
@@ -49,7 +49,7 @@
     Metrics& metrics;
   };
 
-  GroupRunner(Tools tools, const Settings& settings, GroupSettings group, ProcessId self);
+  GroupRunner(Tools tools, const Settings& settings, const GroupSettings& group, ProcessId self);
 
   // Takes a request; the reply comes once, on the loop.
   RequestNumber Take(ForwardRequest request, ReplyFunction reply);
--- a/src/app/http_frontend.cc
+++ b/src/app/http_frontend.cc
@@ -196,10 +196,9 @@
 
 void HttpFrontend::ExplainPath(const std::string& path, const http::Responder& responder) {
   const std::size_t slash = path.find('/');
+  const std::string encoded = slash == std::string::npos ? "" : path.substr(slash + 1);
   std::string key;
-  const bool valid = slash != std::string::npos &&
-                     http::DecodePercent(std::string_view(path).substr(slash + 1), key) &&
-                     !key.empty();
+  const bool valid = http::DecodePercent(encoded, key) && !key.empty();
   if (!valid) {
     responder.Send(Error(kBadRequest, "bad-key", "use /v1/explain/SERVICE/KEY"));
     return;
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -18,7 +18,7 @@
 constexpr std::int64_t kMostBodyBytes = std::int64_t{64} << 20;
 constexpr std::int64_t kMostRequests = 1'000'000;
 constexpr std::int64_t kMinuteMs = 60'000;
-constexpr std::int64_t kDayMs = 24 * 60 * kMinuteMs;
+constexpr std::int64_t kDayMs = 1440 * kMinuteMs;
 
 bool IsName(const std::string& text) {
   const auto fits = [](unsigned char c) {
--- a/src/core/dispatcher.cc
+++ b/src/core/dispatcher.cc
@@ -19,7 +19,8 @@
 }
 
 std::optional<QueuedRequest> Dispatcher::Enqueue(QueuedRequest request, const RouteLookup& route) {
-  return QueueFor(route(request.shard)).Push(std::move(request));
+  FairQueue& queue = QueueFor(route(request.shard));
+  return queue.Push(std::move(request));
 }
 
 bool Dispatcher::Cancel(RequestNumber number) {
@@ -85,7 +86,8 @@
     if (!request) {
       break;
     }
-    std::optional<QueuedRequest> left = QueueFor(route(request->shard)).Push(std::move(*request));
+    FairQueue& queue = QueueFor(route(request->shard));
+    std::optional<QueuedRequest> left = queue.Push(std::move(*request));
     if (left) {
       dropped.push_back(std::move(*left));
     }
--- a/src/core/idempotency_table.cc
+++ b/src/core/idempotency_table.cc
@@ -6,8 +6,7 @@
 
 namespace sycamorestall {
 
-IdempotencyTable::Verdict IdempotencyTable::Judge(const CommandId& id,
-                                                  WallMilliseconds now) const {
+IdempotencyTable::Verdict IdempotencyTable::Judge(const CommandId& id, WallMilliseconds now) const {
   const WallMilliseconds created = id.key.created();
   if (created > now + settings_.clock_margin) {
     return Verdict::kTooNew;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -38,6 +38,34 @@
   member_rumours_[member.process.instance] = {member, SendsPerRumour()};
 }
 
+std::vector<const Membership::Row*> Membership::SomeOthers(const InstanceId& except,
+                                                           std::size_t count) {
+  std::vector<const Row*> others;
+  for (const auto& [id, row] : rows_) {
+    if (id != except && row.member.state == MemberState::kAlive) {
+      others.push_back(&row);
+    }
+  }
+  std::shuffle(others.begin(), others.end(), random_);
+  others.resize(std::min(others.size(), count));
+  return others;
+}
+
+void Membership::PassOn(const Member& member) {
+  for (const Row* row : SomeOthers(member.process.instance, settings_.told_at_once)) {
+    GossipMessage message{GossipKind::kPing, next_sequence_++, self_, {}, versions_, {}, {}};
+    message.members.push_back(member);
+    outgoing_.push_back({row->member.address, std::move(message)});
+  }
+}
+
+void Membership::Change(Instant now, Row& row, MemberState state) {
+  row.member.state = state;
+  row.since = now;
+  Spread(row.member);
+  PassOn(row.member);
+}
+
 void Membership::Announce(const LeaderNotice& notice) {
   leader_rumours_[notice.group] = {notice, SendsPerRumour() + static_cast<int>(rows_.size())};
   PingAll();
@@ -90,8 +118,12 @@
   if (!worth_keeping) {
     return;
   }
+  const bool urgent = member.state != MemberState::kAlive || member.rank > 0;
   rows_[member.process.instance] = {member, now};
   Spread(member);
+  if (urgent) {
+    PassOn(member);
+  }
 }
 
 void Membership::Refute(const Member& rumour) {
@@ -188,15 +220,7 @@
       continue;
     }
     probe.helpers_asked = true;
-    std::vector<const Row*> others;
-    for (const auto& [id, row] : rows_) {
-      if (id != probe.target && row.member.state == MemberState::kAlive) {
-        others.push_back(&row);
-      }
-    }
-    std::shuffle(others.begin(), others.end(), random_);
-    others.resize(std::min(others.size(), settings_.helpers));
-    for (const Row* row : others) {
+    for (const Row* row : SomeOthers(probe.target, settings_.helpers)) {
       Send(row->member.address, GossipKind::kPingRequest, probe.sequence, probe.target);
     }
   }
@@ -213,11 +237,8 @@
       open.push_back(probe);
       continue;
     }
-    Member& member = row->second.member;
-    if (member.state == MemberState::kAlive) {
-      member.state = MemberState::kSuspect;
-      row->second.since = now;
-      Spread(member);
+    if (row->second.member.state == MemberState::kAlive) {
+      Change(now, row->second, MemberState::kSuspect);
     }
   }
   probes_ = std::move(open);
@@ -233,9 +254,7 @@
   FinishProbes(now);
   for (auto& [id, row] : rows_) {
     if (row.member.state == MemberState::kSuspect && now >= row.since + settings_.suspicion) {
-      row.member.state = MemberState::kDead;
-      row.since = now;
-      Spread(row.member);
+      Change(now, row, MemberState::kDead);
     }
   }
   std::erase_if(rows_, [&](const auto& entry) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -22,6 +22,8 @@
   std::chrono::milliseconds suspicion{400};
   // How many others are asked to try a member that does not answer.
   std::size_t helpers = 3;
+  // How many others are told at once of a suspicion or a death.
+  std::size_t told_at_once = 3;
   // How many updates of each sort ride on one datagram.
   std::size_t updates_per_message = 6;
   // How long members that are dead or have left are remembered.
@@ -97,10 +99,15 @@
   };
 
   void Learn(Instant now, const Member& member);
+  void Change(Instant now, Row& row, MemberState state);
   void Refute(const Member& rumour);
   void TellOfDoubt(const Member& sender);
   void Spread(const Member& member);
   void PingAll();
+  // Passes a suspicion, a death or its refutation on at once: waiting for the
+  // next probes takes too long among hundreds.
+  void PassOn(const Member& member);
+  std::vector<const Row*> SomeOthers(const InstanceId& except, std::size_t count);
   void Send(const std::string& address, GossipKind kind, std::uint64_t sequence,
             const InstanceId& target = {});
   void StartProbe(Instant now, const InstanceId& target);
--- a/tests/core/membership_test.cc
+++ b/tests/core/membership_test.cc
@@ -82,22 +82,29 @@
     std::string name;
     int daemons;
     std::chrono::milliseconds bound;
+    // Whether to wait until it is believed alive again, which takes long to
+    // simulate for many.
+    bool wakes;
   };
   // A key has to be served again 2 s after a loss, so its leader's has to be
   // noticed in less.
-  const Row rows[] = {{"three", 3, std::chrono::milliseconds{1200}},
-                      {"five", 5, std::chrono::milliseconds{1200}},
-                      {"sixty", 60, std::chrono::milliseconds{1800}}};
+  const Row rows[] = {{"three", 3, std::chrono::milliseconds{1200}, true},
+                      {"five", 5, std::chrono::milliseconds{1200}, true},
+                      {"sixty", 60, std::chrono::milliseconds{1800}, true},
+                      {"as many as at full size", 510, std::chrono::milliseconds{1800}, false}};
   for (const Row& row : rows) {
     CAPTURE(row.name);
     Fleet fleet(row.daemons);
-    fleet.Run(std::chrono::seconds{3});
+    fleet.Run(std::chrono::seconds{row.wakes ? 3 : 1});
     CHECK(fleet.at("d1").Alive().size() == static_cast<std::size_t>(row.daemons));
     fleet.Silence("d0");
     fleet.Run(row.bound);
     for (int i = 1; i < row.daemons; ++i) {
       CHECK(!fleet.Believes("d" + std::to_string(i), "d0"));
     }
+    if (!row.wakes) {
+      continue;
+    }
     fleet.Wake("d0");
     fleet.Run(std::chrono::seconds{20});
     CHECK(fleet.Believes("d1", "d0"));
