Drop requests that cannot end in time when their turn comes

Cause: between ticks the dispatcher gave slots to requests too near their deadline; their calls timed out, the slot was counted free while the endpoint was still busy, and the next request was shed there.

--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -25,7 +25,7 @@
   const double decision = NanosecondsEach(kCalls, [&](std::size_t i) {
     const ShardId shard = ShardOfKey("key-" + std::to_string(i), 64);
     dispatcher.Enqueue({{i}, shard, CustomerName{"cafe"}, 1, now}, route);
-    for (const Dispatch& each : dispatcher.TakeDispatches(route)) {
+    for (const Dispatch& each : dispatcher.TakeDispatches(now, route)) {
       dispatcher.Finish(each.route.endpoint);
       ++dispatched;
     }
--- a/src/app/group_runner.cc
+++ b/src/app/group_runner.cc
@@ -23,6 +23,9 @@
 constexpr std::chrono::milliseconds kLeastTimeLeft{1};
 // Weight of the newest measurement in the moving average of service times.
 constexpr int kAverageSpan = 16;
+// A request is dispatched only if it would end in time even when it takes this
+// many mean deviations longer than the mean.
+constexpr int kDeviationsAllowed = 4;
 
 GroupSettings Complete(const GroupSettings& incomplete, const Settings& settings) {
   GroupSettings group = incomplete;
@@ -41,7 +44,8 @@
 
 }  // namespace
 
-GroupRunner::GroupRunner(Tools tools, const Settings& settings, GroupSettings group, ProcessId self)
+GroupRunner::GroupRunner(Tools tools, const Settings& settings, const GroupSettings& group,
+                         ProcessId self)
     : tools_(tools),
       service_(settings.services.at(group.group.service)),
       rank_name_(settings.ranks[service_.rank].name),
@@ -109,9 +113,10 @@
     next_expiry_ = now + kExpiryPeriod;
     commands_.Expire(WallNow());
   }
-  for (const QueuedRequest& each : dispatcher_.TakeDropped(now + service_time_, Routes())) {
+  const Instant served_by = now + ExpectedServiceTime();
+  for (const QueuedRequest& each : dispatcher_.TakeDropped(served_by, Routes())) {
     const auto found = work_.find(each.number);
-    const bool late = found != work_.end() && found->second.deadline <= now + service_time_;
+    const bool late = found != work_.end() && found->second.deadline <= served_by;
     if (late) {
       Drop(each, "too-late", "the request could not be run before its deadline");
     } else {
@@ -121,6 +126,10 @@
   Pump();
 }
 
+Duration GroupRunner::ExpectedServiceTime() const {
+  return service_time_ + kDeviationsAllowed * service_deviation_;
+}
+
 void GroupRunner::AbandonStranded(Instant now) {
   if (!leads()) {
     return;
@@ -325,7 +334,8 @@
 }
 
 void GroupRunner::Pump() {
-  for (const struct Dispatch& dispatch : dispatcher_.TakeDispatches(Routes())) {
+  for (const struct Dispatch& dispatch :
+       dispatcher_.TakeDispatches(BootNow() + ExpectedServiceTime(), Routes())) {
     Dispatch(dispatch);
   }
 }
@@ -367,7 +377,7 @@
 }
 
 bool GroupRunner::MayTryAgain(const Work& work, const EndpointResult& result, Instant now) {
-  const bool in_time = now + service_time_ < work.deadline;
+  const bool in_time = now + ExpectedServiceTime() < work.deadline;
   if (result.proved_not_run && result.connection_failed) {
     // It waits until the endpoint answers again or another one owns the shard,
     // so this is no second load on anything.
@@ -389,7 +399,9 @@
   work.call = 0;
   dispatcher_.Finish(work.route->endpoint);
   if (result.answer.outcome == Outcome::kRun) {
-    service_time_ += (now - work.dispatched - service_time_) / kAverageSpan;
+    const Duration error = now - work.dispatched - service_time_;
+    service_time_ += error / kAverageSpan;
+    service_deviation_ += (std::chrono::abs(error) - service_deviation_) / kAverageSpan;
   }
   if (result.connection_failed && result.proved_not_run) {
     leader_.Doubt(now, work.route->endpoint);
--- a/src/app/group_runner.h
+++ b/src/app/group_runner.h
@@ -108,6 +108,7 @@
   void Finish(RequestNumber number, Answer answer);
   void Drop(const QueuedRequest& request, const char* reason, const char* message);
   Dispatcher::RouteLookup Routes() const;
+  Duration ExpectedServiceTime() const;
 
   Tools tools_;
   const ServiceSettings service_;
@@ -119,7 +120,9 @@
   PartLog log_;
   std::map<RequestNumber, Work> work_;
   RequestNumber next_number_{1};
+  // Moving averages of how long requests take, and of how far they are off.
   Duration service_time_{};
+  Duration service_deviation_{};
   Instant next_expiry_;
   bool probing_ = false;
 };
--- a/src/core/dispatcher.cc
+++ b/src/core/dispatcher.cc
@@ -43,7 +43,7 @@
   --running_;
 }
 
-std::vector<Dispatch> Dispatcher::TakeDispatches(const RouteLookup& route) {
+std::vector<Dispatch> Dispatcher::TakeDispatches(Instant served_by, const RouteLookup& route) {
   std::vector<Dispatch> dispatches;
   for (auto& [id, slots] : endpoints_) {
     while (slots.busy < settings_.slots) {
@@ -51,11 +51,15 @@
       if (!next) {
         break;
       }
+      if (next->deadline < served_by) {
+        left_out_.push_back(std::move(*next));
+        continue;
+      }
       const std::optional<ShardRoute> now_at = route(next->shard);
       if (!now_at || now_at->endpoint != id) {
         std::optional<QueuedRequest> dropped = QueueFor(now_at).Push(std::move(*next));
         if (dropped) {
-          squeezed_out_.push_back(std::move(*dropped));
+          left_out_.push_back(std::move(*dropped));
         }
         continue;
       }
@@ -69,7 +73,7 @@
 }
 
 std::vector<QueuedRequest> Dispatcher::TakeDropped(Instant now, const RouteLookup& route) {
-  std::vector<QueuedRequest> dropped = std::exchange(squeezed_out_, {});
+  std::vector<QueuedRequest> dropped = std::exchange(left_out_, {});
   const auto take = [&dropped, now](FairQueue& queue) {
     for (QueuedRequest& each : queue.TakeExpired(now)) {
       dropped.push_back(std::move(each));
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -42,7 +42,8 @@
   // Frees the slot of a request that was dispatched.
   void Finish(const InstanceId& endpoint);
   // Takes the requests that may be sent now; each occupies a slot until Finish.
-  std::vector<Dispatch> TakeDispatches(const RouteLookup& route);
+  // Requests whose deadline is before served_by are left for TakeDropped.
+  std::vector<Dispatch> TakeDispatches(Instant served_by, const RouteLookup& route);
   // Takes requests that have to leave: past their deadline, or squeezed out
   // when the shard they wait for moved to a fuller endpoint.
   std::vector<QueuedRequest> TakeDropped(Instant now, const RouteLookup& route);
@@ -62,7 +63,7 @@
   std::map<InstanceId, EndpointSlots> endpoints_;
   // Requests for shards that no endpoint serves at the moment.
   FairQueue parked_;
-  std::vector<QueuedRequest> squeezed_out_;
+  std::vector<QueuedRequest> left_out_;
   std::size_t running_ = 0;
 };
 
--- a/tests/core/queue_test.cc
+++ b/tests/core/queue_test.cc
@@ -96,23 +96,34 @@
   for (std::uint64_t i = 1; i <= 3; ++i) {
     dispatcher.Enqueue(Request(i, "a"), route);
   }
-  CHECK(dispatcher.TakeDispatches(route).size() == 2U);
+  CHECK(dispatcher.TakeDispatches(Instant{}, route).size() == 2U);
   CHECK(dispatcher.waiting() == 1U);
   at.reset();
   dispatcher.Finish(InstanceId{"e1"});
-  CHECK(dispatcher.TakeDispatches(route).empty());
+  CHECK(dispatcher.TakeDispatches(Instant{}, route).empty());
   CHECK(dispatcher.waiting() == 1U);
   at = ShardRoute{InstanceId{"e2"}, Epoch{2}, Term{1}, Incarnation{1}};
   CHECK(dispatcher.TakeDropped(Instant{}, route).empty());
-  const auto dispatched = dispatcher.TakeDispatches(route);
+  const auto dispatched = dispatcher.TakeDispatches(Instant{}, route);
   REQUIRE(dispatched.size() == 1U);
   CHECK(dispatched.front().route.endpoint == InstanceId{"e2"});
   dispatcher.Enqueue(Request(4, "a"), route);
   dispatcher.Enqueue(Request(5, "a"), route);
-  CHECK(dispatcher.TakeDispatches(route).size() == 1U);
+  CHECK(dispatcher.TakeDispatches(Instant{}, route).size() == 1U);
   CHECK(dispatcher.TakeDropped(Instant{std::chrono::seconds{10}}, route).size() == 1U);
 }
 
+TEST_CASE("a request that cannot end in time is dropped and not dispatched") {
+  Dispatcher dispatcher(DispatchSettings{2, 10});
+  const auto route = [](ShardId) {
+    return std::optional{ShardRoute{InstanceId{"e1"}, Epoch{1}, Term{1}, Incarnation{1}}};
+  };
+  dispatcher.Enqueue(Request(1, "a"), route);
+  CHECK(dispatcher.TakeDispatches(Instant{std::chrono::seconds{10}}, route).empty());
+  CHECK(dispatcher.running() == 0U);
+  CHECK(dispatcher.TakeDropped(Instant{}, route).size() == 1U);
+}
+
 TEST_CASE("a flood of one rank leaves the others what is reserved") {
   RankBudget budget(10, {{3, 10}, {2, 10}, {0, 4}});
   int admitted = 0;
