--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -7,6 +7,7 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <iterator>
 #include <sstream>
 
 namespace sycamorestall {
@@ -30,9 +31,9 @@
   Accumulator values{accumulators::tag::extended_p_square::probabilities = kQuantiles};
 
   void Write(std::ostream& out, const std::string& name, const std::string& labels) const {
-    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-      out << name << "{" << labels << ",quantile=\"" << kQuantiles[i] << "\"} "
-          << accumulators::extended_p_square(values)[i] << "\n";
+    for (std::ptrdiff_t i = 0; i < std::ssize(kQuantiles); ++i) {
+      out << name << "{" << labels << ",quantile=\"" << kQuantiles.at(static_cast<std::size_t>(i))
+          << "\"} " << accumulators::extended_p_square(values)[i] << "\n";
     }
     out << name << "_sum{" << labels << "} " << accumulators::sum(values) << "\n";
     out << name << "_count{" << labels << "} " << accumulators::count(values) << "\n";
--- a/src/peer/peer_socket.cc
+++ b/src/peer/peer_socket.cc
@@ -90,7 +90,7 @@
   inbox_.append(chunk_.data(), count);
   std::size_t place = 0;
   while (!closed_ && inbox_.size() - place >= kFrameHeaderBytes) {
-    const std::string_view rest = std::string_view(inbox_).substr(place);
+    const std::string_view rest = std::string_view{inbox_}.substr(place);
     const std::size_t length = FrameLength(rest);
     if (length > kMostFrameBytes) {
       Fail(false);
--- a/tests/core/ownership_world.cc
+++ b/tests/core/ownership_world.cc
@@ -82,7 +82,7 @@
 
 bool OwnershipWorld::Lost() { return now_ns_ < lose_messages_until_ && random_() % 2 == 0; }
 
-void OwnershipWorld::ToLeader(int index, std::function<void(GroupLeader&, Instant)> call) {
+void OwnershipWorld::ToLeader(int index, const std::function<void(GroupLeader&, Instant)>& call) {
   LeaderNode& node = leaders_[index];
   const ProcessId process = node.process;
   if (now_ns_ < node.paused_until) {
--- a/tests/core/ownership_world.h
+++ b/tests/core/ownership_world.h
@@ -114,7 +114,7 @@
 
   void StartLeader(int index);
   void RunActions(int index);
-  void ToLeader(int index, std::function<void(GroupLeader&, Instant)> call);
+  void ToLeader(int index, const std::function<void(GroupLeader&, Instant)>& call);
   void Read(int index);
   void Write(int index, const WriteRecord& write);
   void Send(int index, const SendOrder& send);
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -71,7 +71,7 @@
       boost::asio::read(socket_, boost::asio::dynamic_buffer(inbox_),
                         boost::asio::transfer_exactly(whole - inbox_.size()), error);
     }
-    const std::string response = inbox_.substr(0, whole);
+    std::string response = inbox_.substr(0, whole);
     inbox_.erase(0, whole);
     return response;
   }
