--- a/src/app/caller_request.cc
+++ b/src/app/caller_request.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/shard_map.h"
+#include "http/status.h"
 
 namespace sycamorestall {
 
@@ -15,10 +16,6 @@
 constexpr std::string_view kKeysInfix = "/keys/";
 constexpr std::size_t kLongestKey = 512;
 constexpr std::size_t kLongestCustomer = 128;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kMethodNotAllowed = 405;
-constexpr std::uint16_t kTooLarge = 413;
 
 Answer Refuse(std::uint16_t status, const std::string& reason, const std::string& message) {
   return MakeRefusal(status, Outcome::kNotRun, reason, message);
@@ -38,7 +35,7 @@
   const bool fits = parsed.ec == std::errc{} && parsed.ptr == end && value > 0 &&
                     value <= service.max_timeout.count();
   if (!fits) {
-    return Refuse(kBadRequest, "bad-timeout",
+    return Refuse(http::kBadRequest, "bad-timeout",
                   "Sycamorestall-Timeout-Ms must be a whole number from 1 to " +
                       std::to_string(service.max_timeout.count()));
   }
@@ -54,12 +51,12 @@
   }
   const std::string* text = request.header("Idempotency-Key");
   if (text == nullptr) {
-    return Refuse(kBadRequest, "idempotency-key-missing",
+    return Refuse(http::kBadRequest, "idempotency-key-missing",
                   "requests that change state need an Idempotency-Key with a UUID of version 7");
   }
   command = ParseUuidV7(*text);
   if (!command) {
-    return Refuse(kBadRequest, "idempotency-key-bad",
+    return Refuse(http::kBadRequest, "idempotency-key-bad",
                   "the Idempotency-Key must be a UUID of version 7");
   }
   return std::nullopt;
@@ -114,29 +111,31 @@
                                                        const Settings& settings) {
   const std::optional<PathParts> parts = SplitPath(request.path);
   if (!parts) {
-    return Refuse(kNotFound, "unknown-path", "the path must be /v1/services/SERVICE/keys/KEY");
+    return Refuse(http::kNotFound, "unknown-path",
+                  "the path must be /v1/services/SERVICE/keys/KEY");
   }
   if (request.method == http::Method::kOther) {
-    return Refuse(kMethodNotAllowed, "method-not-allowed", "use GET, PUT, POST or DELETE");
+    return Refuse(http::kMethodNotAllowed, "method-not-allowed", "use GET, PUT, POST or DELETE");
   }
   CallerRequest caller;
   caller.method = request.method;
   caller.service = ServiceName{parts->service};
   const auto found = settings.services.find(caller.service);
   if (found == settings.services.end()) {
-    return Refuse(kNotFound, "unknown-service", "there is no service of that name");
+    return Refuse(http::kNotFound, "unknown-service", "there is no service of that name");
   }
   const ServiceSettings& service = found->second;
   const bool decoded = http::DecodePercent(parts->key, caller.key);
   if (!decoded || caller.key.empty() || !http::IsPlainUtf8(caller.key)) {
-    return Refuse(kBadRequest, "bad-key", "the key must be percent-encoded UTF-8 and not empty");
+    return Refuse(http::kBadRequest, "bad-key",
+                  "the key must be percent-encoded UTF-8 and not empty");
   }
   if (caller.key.size() > kLongestKey) {
-    return Refuse(kBadRequest, "key-too-long", "the key must be at most 512 bytes long");
+    return Refuse(http::kBadRequest, "key-too-long", "the key must be at most 512 bytes long");
   }
   const std::string* customer = request.header("Sycamorestall-Customer");
   if (customer == nullptr || customer->empty() || customer->size() > kLongestCustomer) {
-    return Refuse(kBadRequest, "customer-missing",
+    return Refuse(http::kBadRequest, "customer-missing",
                   "Sycamorestall-Customer must name the customer, in at most 128 bytes");
   }
   caller.customer = CustomerName{*customer};
@@ -145,7 +144,7 @@
     wrong = ReadCommand(request, service, caller.command);
   }
   if (!wrong && body_bytes > service.max_body_bytes) {
-    wrong = Refuse(kTooLarge, "body-too-large",
+    wrong = Refuse(http::kTooLarge, "body-too-large",
                    "the body must be at most " + std::to_string(service.max_body_bytes) + " bytes");
   }
   if (wrong) {
--- a/src/app/endpoint_client.cc
+++ b/src/app/endpoint_client.cc
@@ -5,16 +5,12 @@
 
 #include "app/caller_request.h"
 #include "endpoint/order_json.h"
+#include "http/status.h"
 
 namespace sycamorestall {
 
 namespace {
 
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kConflict = 409;
-constexpr std::uint16_t kBadGateway = 502;
-constexpr std::uint16_t kUnavailable = 503;
-constexpr std::uint16_t kGatewayTimeout = 504;
 constexpr std::chrono::milliseconds kCancelTimeout{500};
 
 std::string HeaderOr(const http::CallResult& result, const char* name) {
@@ -27,28 +23,28 @@
   if (result.error && !result.perhaps_sent) {
     translated.proved_not_run = true;
     translated.connection_failed = true;
-    translated.answer = MakeRefusal(kUnavailable, Outcome::kNotRun, "endpoint-not-reached",
+    translated.answer = MakeRefusal(http::kUnavailable, Outcome::kNotRun, "endpoint-not-reached",
                                     "the endpoint could not be reached");
     return translated;
   }
   if (result.error) {
     translated.connection_failed = true;
     translated.answer =
-        MakeRefusal(kGatewayTimeout, Outcome::kUnknown, "endpoint-silent",
+        MakeRefusal(http::kGatewayTimeout, Outcome::kUnknown, "endpoint-silent",
                     "the endpoint gave no whole answer; the request may have been run");
     return translated;
   }
   const std::string outcome = HeaderOr(result, "Endpoint-Outcome");
   if (outcome == ToString(Outcome::kNotRun)) {
-    const bool not_owner = result.status == kConflict;
+    const bool not_owner = result.status == http::kConflict;
     translated.proved_not_run = true;
     translated.answer =
-        MakeRefusal(kUnavailable, Outcome::kNotRun, not_owner ? "not-owner" : "endpoint-shed",
+        MakeRefusal(http::kUnavailable, Outcome::kNotRun, not_owner ? "not-owner" : "endpoint-shed",
                     "the endpoint did not take the request");
     return translated;
   }
   if (outcome != ToString(Outcome::kRun)) {
-    translated.answer = MakeRefusal(kBadGateway, Outcome::kUnknown, "endpoint-answer-bad",
+    translated.answer = MakeRefusal(http::kBadGateway, Outcome::kUnknown, "endpoint-answer-bad",
                                     "the endpoint's answer does not say whether it ran");
     return translated;
   }
@@ -101,7 +97,7 @@
   control_.Start(std::move(call),
                  [this, callback = std::move(callback)](const http::CallResult& result) {
                    std::optional<EndpointReply> reply;
-                   if (!result.error && result.status == kOk) {
+                   if (!result.error && result.status == http::kOk) {
                      reply = ParseReply(result.body);
                    }
                    loop_.Post([callback, reply = std::move(reply)] { callback(reply); });
@@ -115,7 +111,7 @@
   call.timeout = timeout;
   control_.Start(std::move(call),
                  [this, callback = std::move(callback)](const http::CallResult& result) {
-                   const bool reached = !result.error && result.status == kOk;
+                   const bool reached = !result.error && result.status == http::kOk;
                    loop_.Post([callback, reached] { callback(reached); });
                  });
 }
--- a/src/app/group_runner.cc
+++ b/src/app/group_runner.cc
@@ -5,16 +5,13 @@
 
 #include "app/caller_request.h"
 #include "clock/system_clock.h"
+#include "http/status.h"
 #include "platform/record_json.h"
 
 namespace sycamorestall {
 
 namespace {
 
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kConflict = 409;
-constexpr std::uint16_t kTooMany = 429;
-constexpr std::uint16_t kUnavailable = 503;
 constexpr std::uint32_t kRetryAfterS = 1;
 constexpr int kMostTries = 3;
 constexpr double kRetryShare = 0.1;
@@ -232,7 +229,7 @@
   }
   for (const RequestNumber number : waiting) {
     dispatcher_.Cancel(number);
-    Finish(number, Overloaded(kUnavailable, "not-leader", "the group's leader has changed"));
+    Finish(number, Overloaded(http::kUnavailable, "not-leader", "the group's leader has changed"));
   }
 }
 
@@ -247,18 +244,18 @@
     case IdempotencyTable::Verdict::kAnswered:
       return *commands_.Find(IdOf(request));
     case IdempotencyTable::Verdict::kOpen:
-      return MakeRefusal(kConflict, Outcome::kUnknown, "command-open",
+      return MakeRefusal(http::kConflict, Outcome::kUnknown, "command-open",
                          "the command was sent before and is still open");
     case IdempotencyTable::Verdict::kTooOld:
-      return MakeRefusal(kBadRequest, Outcome::kUnknown, "idempotency-key-too-old",
+      return MakeRefusal(http::kBadRequest, Outcome::kUnknown, "idempotency-key-too-old",
                          "the Idempotency-Key is too old for it to be known whether it has run");
     case IdempotencyTable::Verdict::kTooNew:
-      return MakeRefusal(kBadRequest, Outcome::kNotRun, "idempotency-key-in-future",
+      return MakeRefusal(http::kBadRequest, Outcome::kNotRun, "idempotency-key-in-future",
                          "the Idempotency-Key's time lies in the future");
     case IdempotencyTable::Verdict::kFull:
       break;
   }
-  return Overloaded(kUnavailable, "commands-full", "too many commands are remembered");
+  return Overloaded(http::kUnavailable, "commands-full", "too many commands are remembered");
 }
 
 bool GroupRunner::PerhapsRunBefore(const ForwardRequest& request, Instant now) const {
@@ -274,7 +271,7 @@
   const RequestNumber number = next_number_;
   next_number_.value += 1;
   if (!leads()) {
-    reply(Overloaded(kUnavailable, "not-leader", "this daemon does not lead the group"));
+    reply(Overloaded(http::kUnavailable, "not-leader", "this daemon does not lead the group"));
     return number;
   }
   if (request.command) {
@@ -313,7 +310,7 @@
 
 void GroupRunner::Drop(const QueuedRequest& request, const char* reason, const char* message) {
   const bool full = std::string_view(reason) == "queue-full";
-  Finish(request.number, Overloaded(full ? kTooMany : kUnavailable, reason, message));
+  Finish(request.number, Overloaded(full ? http::kTooMany : http::kUnavailable, reason, message));
 }
 
 void GroupRunner::Cancel(RequestNumber number) {
@@ -324,7 +321,7 @@
   Work& work = found->second;
   work.reply = [](const Answer&) {};
   if (dispatcher_.Cancel(number)) {
-    Finish(number, Overloaded(kUnavailable, "caller-left", "the caller has left"));
+    Finish(number, Overloaded(http::kUnavailable, "caller-left", "the caller has left"));
     return;
   }
   work.caller_left = true;
@@ -345,7 +342,7 @@
   const Instant now = BootNow();
   if (work.request.command && PerhapsRunBefore(work.request, now)) {
     dispatcher_.Finish(dispatch.route.endpoint);
-    Finish(dispatch.number, MakeRefusal(kConflict, Outcome::kUnknown, "command-may-have-run",
+    Finish(dispatch.number, MakeRefusal(http::kConflict, Outcome::kUnknown, "command-may-have-run",
                                         "an earlier leader may have run the command"));
     return;
   }
@@ -367,7 +364,8 @@
     EndpointResult result;
     result.proved_not_run = true;
     result.connection_failed = true;
-    result.answer = Overloaded(kUnavailable, "endpoint-not-reached", "the endpoint is cut off");
+    result.answer =
+        Overloaded(http::kUnavailable, "endpoint-not-reached", "the endpoint is cut off");
     tools_.loop.Post([this, number, result] { TakeResult(number, result); });
     return;
   }
@@ -411,7 +409,7 @@
     tools_.metrics.Count("retries_total{service=\"" + work.request.service.value() + "\"}");
     Enqueue(number);
   } else if (result.proved_not_run && !leads()) {
-    Finish(number, Overloaded(kUnavailable, "not-leader", "the group's leader has changed"));
+    Finish(number, Overloaded(http::kUnavailable, "not-leader", "the group's leader has changed"));
   } else {
     Finish(number, std::move(result.answer));
   }
--- a/src/app/http_frontend.cc
+++ b/src/app/http_frontend.cc
@@ -8,6 +8,7 @@
 #include "app/caller_request.h"
 #include "app/daemon.h"
 #include "app/explain.h"
+#include "http/status.h"
 
 namespace sycamorestall {
 
@@ -18,15 +19,6 @@
 constexpr std::string_view kServices = "/v1/services/";
 constexpr std::string_view kExplain = "/v1/explain/";
 constexpr std::uint64_t kMostDocumentBytes = 1 << 20;
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kForbidden = 403;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kMethodNotAllowed = 405;
-constexpr std::uint16_t kConflict = 409;
-constexpr std::uint16_t kTooLarge = 413;
-constexpr std::uint16_t kUnavailable = 503;
-constexpr std::uint16_t kGatewayTimeout = 504;
 
 http::Response Json(std::uint16_t status, std::string body) {
   return {status, {}, "application/json", std::move(body) + "\n", false};
@@ -62,17 +54,17 @@
   }
   switch (result.verdict) {
     case EditVerdict::kAccepted:
-      return Json(kOk, body.dump(2));
+      return Json(http::kOk, body.dump(2));
     case EditVerdict::kConflict:
-      return Json(kConflict, body.dump(2));
+      return Json(http::kConflict, body.dump(2));
     case EditVerdict::kInvalid:
-      return Json(kBadRequest, body.dump(2));
+      return Json(http::kBadRequest, body.dump(2));
     case EditVerdict::kUnavailable:
-      return Json(kUnavailable, body.dump(2));
+      return Json(http::kUnavailable, body.dump(2));
     case EditVerdict::kUnknown:
       break;
   }
-  return Json(kGatewayTimeout, body.dump(2));
+  return Json(http::kGatewayTimeout, body.dump(2));
 }
 
 }  // namespace
@@ -88,7 +80,7 @@
                                                       std::uint64_t body_bytes) {
   if (!head.path.starts_with(kServices)) {
     if (body_bytes > kMostDocumentBytes) {
-      return Error(kTooLarge, "body-too-large", "the body must be at most 1048576 bytes");
+      return Error(http::kTooLarge, "body-too-large", "the body must be at most 1048576 bytes");
     }
     return std::nullopt;
   }
@@ -126,14 +118,14 @@
   const std::string& path = request.path;
   const bool is_get = request.method == http::Method::kGet;
   if (path == "/healthz" && is_get) {
-    responder.Send(Json(kOk, R"({"healthy":true})"));
+    responder.Send(Json(http::kOk, R"({"healthy":true})"));
   } else if (path == "/readyz" && is_get) {
-    responder.Send(daemon_.ready() ? Json(kOk, R"({"ready":true})")
-                                   : Json(kUnavailable, R"({"ready":false})"));
+    responder.Send(daemon_.ready() ? Json(http::kOk, R"({"ready":true})")
+                                   : Json(http::kUnavailable, R"({"ready":false})"));
   } else if (path == "/metrics" && is_get) {
-    responder.Send({kOk, {}, "text/plain; version=0.0.4", daemon_.metrics().Write(), false});
+    responder.Send({http::kOk, {}, "text/plain; version=0.0.4", daemon_.metrics().Write(), false});
   } else if (path == "/v1/status" && is_get) {
-    responder.Send(Json(kOk, DescribeDaemon(daemon_)));
+    responder.Send(Json(http::kOk, DescribeDaemon(daemon_)));
   } else if (path.starts_with(kExplain) && is_get) {
     ExplainPath(path.substr(kExplain.size()), responder);
   } else if (path == "/v1/plans" || path == "/v1/plans/history") {
@@ -141,14 +133,14 @@
   } else if (path == "/v1/customers" || path == "/v1/customers/history") {
     OperateDocument(DocumentKind::kCustomers, request, path.ends_with("history"), responder);
   } else if (path == "/v1/drain" && request.method == http::Method::kPost) {
-    responder.Send(Json(kOk, R"({"leaving":true})"));
+    responder.Send(Json(http::kOk, R"({"leaving":true})"));
     daemon_.Drain();
   } else if (path == "/v1/log-level" && request.method == http::Method::kPut) {
     ChangeLogLevel(request.body, responder);
   } else if (path == "/v1/faults" && request.method == http::Method::kPost) {
     ChangeFaults(request.body, responder);
   } else {
-    responder.Send(Error(kNotFound, "unknown-path", "there is nothing at this path"));
+    responder.Send(Error(http::kNotFound, "unknown-path", "there is nothing at this path"));
   }
 }
 
@@ -159,7 +151,7 @@
     return;
   }
   if (request.method != http::Method::kGet) {
-    responder.Send(Error(kMethodNotAllowed, "method-not-allowed", "use GET or PUT"));
+    responder.Send(Error(http::kMethodNotAllowed, "method-not-allowed", "use GET or PUT"));
     return;
   }
   const StoredDocument& document = daemon_.config().Document(kind);
@@ -172,7 +164,7 @@
   } else {
     body["document"] = json::parse(document.content.empty() ? "{}" : document.content);
   }
-  responder.Send(Json(kOk, body.dump(2)));
+  responder.Send(Json(http::kOk, body.dump(2)));
 }
 
 void HttpFrontend::EditDocument(DocumentKind kind, const std::string& body,
@@ -186,7 +178,7 @@
     edit.author = object.at("author").get<std::string>();
     edit.content = object.at("document").dump();
   } catch (const json::exception& error) {
-    responder.Send(Error(kBadRequest, "bad-change", error.what()));
+    responder.Send(Error(http::kBadRequest, "bad-change", error.what()));
     return;
   }
   daemon_.config().Edit(std::move(edit), [responder](const EditResult& result) {
@@ -200,12 +192,13 @@
   std::string key;
   const bool valid = http::DecodePercent(encoded, key) && !key.empty();
   if (!valid) {
-    responder.Send(Error(kBadRequest, "bad-key", "use /v1/explain/SERVICE/KEY"));
+    responder.Send(Error(http::kBadRequest, "bad-key", "use /v1/explain/SERVICE/KEY"));
     return;
   }
   daemon_.Explain(ServiceName{path.substr(0, slash)}, key, [responder](std::string text) {
-    responder.Send(text.empty() ? Error(kNotFound, "unknown-service", "there is no such service")
-                                : Json(kOk, std::move(text)));
+    responder.Send(text.empty()
+                       ? Error(http::kNotFound, "unknown-service", "there is no such service")
+                       : Json(http::kOk, std::move(text)));
   });
 }
 
@@ -214,17 +207,18 @@
   const json object = json::parse(body, nullptr, false);
   const bool named = object.is_object() && object.value("level", json()).is_string();
   if (!named || !ParseLogLevel(object.at("level").get<std::string>(), level)) {
-    responder.Send(Error(kBadRequest, "bad-level", "level must be debug, info, warning or error"));
+    responder.Send(
+        Error(http::kBadRequest, "bad-level", "level must be debug, info, warning or error"));
     return;
   }
   SetLogLevel(level);
-  responder.Send(Json(kOk, "{}"));
+  responder.Send(Json(http::kOk, "{}"));
 }
 
 void HttpFrontend::ChangeFaults(const std::string& body, const http::Responder& responder) {
   const json object = json::parse(body, nullptr, false);
   if (!daemon_.settings().allow_faults || !object.is_object()) {
-    responder.Send(Error(kForbidden, "faults-not-allowed", "daemon.allow_faults is not set"));
+    responder.Send(Error(http::kForbidden, "faults-not-allowed", "daemon.allow_faults is not set"));
     return;
   }
   std::set<DomainName> domains;
@@ -232,7 +226,7 @@
     domains.insert(DomainName{each.is_string() ? each.get<std::string>() : ""});
   }
   daemon_.Cut(std::move(domains));
-  responder.Send(Json(kOk, "{}"));
+  responder.Send(Json(http::kOk, "{}"));
 }
 
 }  // namespace sycamorestall
--- a/src/app/ingress.cc
+++ b/src/app/ingress.cc
@@ -6,15 +6,12 @@
 
 #include "clock/system_clock.h"
 #include "core/shard_map.h"
+#include "http/status.h"
 
 namespace sycamorestall {
 
 namespace {
 
-constexpr std::uint16_t kForbidden = 403;
-constexpr std::uint16_t kTooMany = 429;
-constexpr std::uint16_t kUnavailable = 503;
-constexpr std::uint16_t kGatewayTimeout = 504;
 constexpr double kRetryShare = 0.1;
 constexpr double kRetryBurst = 50;
 // An answer has to be on its way before the caller's patience is over, and the
@@ -56,22 +53,22 @@
 std::optional<Answer> Ingress::Admit(const CallerRequest& request, std::size_t rank,
                                      double& weight) {
   if (closed_) {
-    return RetryLater(kUnavailable, "leaving", "this daemon is being stopped");
+    return RetryLater(http::kUnavailable, "leaving", "this daemon is being stopped");
   }
   const Plan* plan = tools_.config.book().Find(request.customer);
   if (plan == nullptr) {
-    return MakeRefusal(kForbidden, Outcome::kNotRun, "unknown-customer",
+    return MakeRefusal(http::kForbidden, Outcome::kNotRun, "unknown-customer",
                        "there is no customer of that name, or its plan does not exist");
   }
   if (!plan->services.empty() && !plan->services.contains(request.service)) {
-    return MakeRefusal(kForbidden, Outcome::kNotRun, "service-not-in-plan",
+    return MakeRefusal(http::kForbidden, Outcome::kNotRun, "service-not-in-plan",
                        "the customer's plan does not include the service");
   }
   if (by_customer_[request.customer] >= plan->max_in_flight) {
-    return RetryLater(kTooMany, "customer-limit", "the customer has too many requests open");
+    return RetryLater(http::kTooMany, "customer-limit", "the customer has too many requests open");
   }
   if (!budget_.Admit(rank)) {
-    return RetryLater(kUnavailable, "overloaded", "the daemon is overloaded");
+    return RetryLater(http::kUnavailable, "overloaded", "the daemon is overloaded");
   }
   weight = plan->weight;
   return std::nullopt;
@@ -208,7 +205,7 @@
       continue;
     }
     Finish(number,
-           MakeRefusal(kUnavailable, Outcome::kUnknown, "leader-lost",
+           MakeRefusal(http::kUnavailable, Outcome::kUnknown, "leader-lost",
                        "the connection to the leader broke; the request may have been run"));
   }
 }
@@ -227,7 +224,8 @@
   }
   tools_.metrics.Count("callers_left_total{rank=\"" + tools_.settings.ranks[open.rank].name +
                        "\"}");
-  Finish(number, MakeRefusal(kGatewayTimeout, Outcome::kUnknown, "caller-left", "nobody waits"));
+  Finish(number,
+         MakeRefusal(http::kGatewayTimeout, Outcome::kUnknown, "caller-left", "nobody waits"));
 }
 
 void Ingress::Tick(Instant now) {
@@ -241,14 +239,14 @@
     const Open& open = open_.at(number);
     const bool proved_not_run = !open.was_sent || waiting_.contains(number);
     if (proved_not_run && (open.request.command || !open.was_sent)) {
-      Finish(number,
-             RetryLater(kUnavailable, "no-leader", "no leader of the key's group is reached"));
+      Finish(number, RetryLater(http::kUnavailable, "no-leader",
+                                "no leader of the key's group is reached"));
       continue;
     }
     if (!open.address.empty()) {
       tools_.network.Send(open.address, ChannelOfRank(open.rank), CancelForward{number});
     }
-    Finish(number, MakeRefusal(kGatewayTimeout, Outcome::kUnknown, "no-answer-in-time",
+    Finish(number, MakeRefusal(http::kGatewayTimeout, Outcome::kUnknown, "no-answer-in-time",
                                "no answer came in time; the request may have been run"));
   }
   const std::vector<std::uint64_t> waiting(waiting_.begin(), waiting_.end());
--- a/src/app/operator_client.cc
+++ b/src/app/operator_client.cc
@@ -14,6 +14,7 @@
 #include "clock/system_clock.h"
 #include "core/uuid_v7.h"
 #include "http/http_client.h"
+#include "http/status.h"
 
 namespace sycamorestall {
 
@@ -24,9 +25,6 @@
 constexpr std::chrono::seconds kCallTimeout{5};
 constexpr std::chrono::milliseconds kPollPeriod{100};
 constexpr int kLostReplies = 3;
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kConflict = 409;
 
 http::CallResult Ask(http::Method method, const std::string& url, std::string body = {}) {
   http::Call call;
@@ -64,11 +62,11 @@
 
 ExitStatus StatusOf(std::uint16_t http_status) {
   switch (http_status) {
-    case kOk:
+    case http::kOk:
       return ExitStatus::kDone;
-    case kConflict:
+    case http::kConflict:
       return ExitStatus::kConflict;
-    case kBadRequest:
+    case http::kBadRequest:
       return ExitStatus::kBadDocument;
     default:
       return ExitStatus::kFailed;
@@ -82,8 +80,8 @@
   if (result.error) {
     return NotReached(origin_, result);
   }
-  (result.status == kOk ? std::cout : std::cerr) << result.body;
-  return result.status == kOk ? ExitStatus::kDone : ExitStatus::kFailed;
+  (result.status == http::kOk ? std::cout : std::cerr) << result.body;
+  return result.status == http::kOk ? ExitStatus::kDone : ExitStatus::kFailed;
 }
 
 ExitStatus OperatorClient::Status() const { return Show("/v1/status"); }
@@ -129,7 +127,7 @@
   // daemon answer for the change rather than make it twice.
   for (int attempt = 0; attempt < kLostReplies; ++attempt) {
     result = Ask(http::Method::kPut, origin_ + "/v1/" + name, change.dump());
-    if (!result.error && result.status < 500) {
+    if (!result.error && result.status < http::kServerError) {
       break;
     }
     std::this_thread::sleep_for(kPollPeriod);
--- a/src/http/connection_worker.cc
+++ b/src/http/connection_worker.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "clock/system_clock.h"
+#include "http/status.h"
 
 namespace sycamorestall::http {
 
@@ -202,19 +203,20 @@
     case Framing::Verdict::kIncomplete:
       return false;
     case Framing::Verdict::kBadLength:
-      return malformed(400, "the Content-Length is not valid");
+      return malformed(kBadRequest, "the Content-Length is not valid");
     case Framing::Verdict::kLengthRequired:
-      return malformed(411, "a Content-Length is required, transfer codings are not accepted");
+      return malformed(kLengthRequired,
+                       "a Content-Length is required, transfer codings are not accepted");
     case Framing::Verdict::kHeadTooLarge:
-      return malformed(431, "the request's head is too large");
+      return malformed(kHeadTooLarge, "the request's head is too large");
     case Framing::Verdict::kComplete:
       break;
   }
   if (connection.framing.body_bytes > shared_->settings.max_body_bytes) {
-    return malformed(413, "the body is larger than the limit");
+    return malformed(kTooLarge, "the body is larger than the limit");
   }
   if (!ParseHead(connection)) {
-    return malformed(400, "the request is not valid HTTP");
+    return malformed(kBadRequest, "the request is not valid HTTP");
   }
   connection.inbox.erase(0, connection.framing.head_bytes);
   std::optional<Response> refusal = shared_->handler->CheckHead(Convert(connection.parser.request),
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http/status.h"
 #include "platform/record_json.h"
 
 namespace sycamorestall {
@@ -11,11 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kConflict = 409;
-constexpr std::uint16_t kUnavailable = 503;
-
 // Names the errors of calls to the platform.
 class Category : public std::error_category {
  public:
@@ -38,7 +34,7 @@
   if (result.error) {
     return PlatformError::kNoAnswer;
   }
-  return result.status == kUnavailable ? PlatformError::kOutage : PlatformError::kBadAnswer;
+  return result.status == http::kUnavailable ? PlatformError::kOutage : PlatformError::kBadAnswer;
 }
 
 StoreValue ReadValue(const json& object) {
@@ -47,13 +43,14 @@
 }
 
 SwapResult ReadSwap(const http::CallResult& result) {
-  const bool answered = !result.error && (result.status == kOk || result.status == kConflict);
+  const bool answered =
+      !result.error && (result.status == http::kOk || result.status == http::kConflict);
   if (!answered) {
     return {};
   }
   try {
     const json object = json::parse(result.body);
-    if (result.status == kOk) {
+    if (result.status == http::kOk) {
       return {WriteVerdict::kApplied, {Revision{object.at("revision").get<std::uint64_t>()}, {}}};
     }
     return {WriteVerdict::kConflict, ReadValue(object)};
@@ -91,11 +88,11 @@
 
 void HttpPlatform::StartRead(http::Call call, ReadCallback callback) {
   client_.Start(std::move(call), [callback = std::move(callback)](const http::CallResult& result) {
-    if (!result.error && result.status == kNotFound) {
+    if (!result.error && result.status == http::kNotFound) {
       callback({}, {});
       return;
     }
-    if (result.error || result.status != kOk) {
+    if (result.error || result.status != http::kOk) {
       callback(Translate(result), {});
       return;
     }
@@ -126,7 +123,7 @@
 void HttpPlatform::ReadPrefix(const std::string& prefix, ListCallback callback) {
   client_.Start(MakeCall(http::Method::kGet, "/list/" + prefix),
                 [callback = std::move(callback)](const http::CallResult& result) {
-                  if (result.error || result.status != kOk) {
+                  if (result.error || result.status != http::kOk) {
                     callback(Translate(result), {});
                     return;
                   }
@@ -157,7 +154,7 @@
 void HttpPlatform::ReadInstances(InstancesCallback callback) {
   client_.Start(MakeCall(http::Method::kGet, "/instances"),
                 [callback = std::move(callback)](const http::CallResult& result) {
-                  if (result.error || result.status != kOk) {
+                  if (result.error || result.status != http::kOk) {
                     callback(Translate(result), {});
                     return;
                   }
--- a/tests/fakes/fake_endpoint.cc
+++ b/tests/fakes/fake_endpoint.cc
@@ -7,6 +7,7 @@
 
 #include "clock/system_clock.h"
 #include "endpoint/order_json.h"
+#include "http/status.h"
 
 namespace sycamorestall::fakes {
 
@@ -14,11 +15,6 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kConflict = 409;
-constexpr std::uint16_t kUnavailable = 503;
 constexpr int kCrashStatus = 86;
 
 std::int64_t NowNs() { return BootNow().time_since_epoch().count(); }
@@ -68,7 +64,7 @@
     return;
   }
   if (request.path == "/record") {
-    responder.Send(Plain(kOk, Report(), "run"));
+    responder.Send(Plain(http::kOk, Report(), "run"));
     return;
   }
   {
@@ -81,23 +77,23 @@
   if (request.path == "/control/orders") {
     TakeOrder(request, responder);
   } else if (request.path == "/control/health") {
-    responder.Send(Plain(kOk, "{}", "run"));
+    responder.Send(Plain(http::kOk, "{}", "run"));
   } else if (request.path.starts_with("/requests/")) {
     Cancel(request.path.substr(std::string("/requests/").size()));
-    responder.Send(Plain(kOk, "{}", "run"));
+    responder.Send(Plain(http::kOk, "{}", "run"));
   } else if (request.path.starts_with("/run/")) {
     TakeWork(request, responder);
   } else if (request.path.starts_with("/straight/")) {
     TakeStraight(request, responder);
   } else {
-    responder.Send(Plain(kNotFound, "{}", "not-run"));
+    responder.Send(Plain(http::kNotFound, "{}", "not-run"));
   }
 }
 
 void FakeEndpoint::TakeOrder(const http::Request& request, const http::Responder& responder) {
   const std::optional<EndpointOrder> order = ParseOrder(request.body);
   if (!order) {
-    responder.Send(Plain(kBadRequest, "{}", "not-run"));
+    responder.Send(Plain(http::kBadRequest, "{}", "not-run"));
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -112,7 +108,7 @@
       Note("end " + std::to_string(shard.value) + " " + std::to_string(now));
     }
   }
-  responder.Send(Plain(kOk, WriteReply(reply), "run"));
+  responder.Send(Plain(http::kOk, WriteReply(reply), "run"));
 }
 
 std::int64_t FakeEndpoint::ServiceTime() const {
@@ -134,13 +130,13 @@
   std::unique_lock<std::mutex> lock(mutex_);
   if (!grants_.MayRun(NowNs(), shard, epoch, term)) {
     ++refused_;
-    responder.Send(Plain(kConflict, R"({"refused":"not the owner"})", "not-run"));
+    responder.Send(Plain(http::kConflict, R"({"refused":"not the owner"})", "not-run"));
     return;
   }
   const bool full = static_cast<int>(running_.size()) >= behaviour_.slots;
   if (behaviour_.sheds || full) {
     ++shed_;
-    responder.Send(Plain(kUnavailable, R"({"refused":"no slot"})", "not-run"));
+    responder.Send(Plain(http::kUnavailable, R"({"refused":"no slot"})", "not-run"));
     return;
   }
   ++runs_;
@@ -159,7 +155,7 @@
                   {"method", http::ToString(request.method)},
                   {"echo", HeaderText(request, "Endpoint-Echo")},
                   {"body_bytes", request.body.size()}};
-  Run run{key, command, shard, epoch, term, responder, Plain(kOk, body.dump(), "run"), false};
+  Run run{key, command, shard, epoch, term, responder, Plain(http::kOk, body.dump(), "run"), false};
   running_.emplace(number, std::move(run));
   by_request_id_[HeaderText(request, "Endpoint-Request")] = number;
   grants_.Begin(shard);
@@ -172,7 +168,7 @@
 void FakeEndpoint::TakeStraight(const http::Request& request, const http::Responder& responder) {
   const json body{{"key", request.path.substr(std::string("/straight/").size())},
                   {"body_bytes", request.body.size()}};
-  http::Response response = Plain(kOk, body.dump(), "run");
+  http::Response response = Plain(http::kOk, body.dump(), "run");
   response.headers.push_back({"Sycamorestall-Outcome", "run"});
   runner_.After(std::chrono::microseconds{behaviour_.service_us},
                 [responder, response] { responder.Send(response); });
@@ -226,10 +222,10 @@
       released.swap(held_back_);
     }
   } catch (const json::exception&) {
-    responder.Send(Plain(kBadRequest, "{}", "not-run"));
+    responder.Send(Plain(http::kBadRequest, "{}", "not-run"));
     return;
   }
-  responder.Send(Plain(kOk, "{}", "run"));
+  responder.Send(Plain(http::kOk, "{}", "run"));
   for (auto& [held, held_responder] : released) {
     Handle(std::move(held), held_responder);
   }
--- a/tests/fakes/fake_platform.cc
+++ b/tests/fakes/fake_platform.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "clock/system_clock.h"
+#include "http/status.h"
 #include "platform/record_json.h"
 
 namespace sycamorestall::fakes {
@@ -14,11 +15,6 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kConflict = 409;
-constexpr std::uint16_t kUnavailable = 503;
 constexpr std::size_t kVersionsKept = 64;
 constexpr std::int64_t kNsPerMs = 1'000'000;
 
@@ -64,7 +60,7 @@
       return;
     }
     if (faults_.outage) {
-      responder.Send(Answer(kUnavailable, {{"error", "outage"}}));
+      responder.Send(Answer(http::kUnavailable, {{"error", "outage"}}));
       return;
     }
     slow_ms = faults_.slow_ms;
@@ -85,7 +81,7 @@
     if (path == "/faults") {
       TakeFaults(request);
     } else if (path == "/counts") {
-      responder.Send(Answer(kOk, counts_));
+      responder.Send(Answer(http::kOk, counts_));
       return true;
     } else if (TakePrefix(path, "/admin/instances/")) {
       TakeInstance(request, path);
@@ -93,10 +89,10 @@
       return false;
     }
   } catch (const json::exception& error) {
-    responder.Send(Answer(kBadRequest, {{"error", error.what()}}));
+    responder.Send(Answer(http::kBadRequest, {{"error", error.what()}}));
     return true;
   }
-  responder.Send(Answer(kOk, json::object()));
+  responder.Send(Answer(http::kOk, json::object()));
   return true;
 }
 
@@ -136,7 +132,8 @@
   std::string path = request.path;
   try {
     if (path == "/instances") {
-      http::Response response{kOk, {}, "application/json", WriteInstances(VisibleList()), false};
+      http::Response response{
+          http::kOk, {}, "application/json", WriteInstances(VisibleList()), false};
       responder.Send(std::move(response));
     } else if (TakePrefix(path, "/kv/")) {
       if (request.method == http::Method::kPut) {
@@ -151,10 +148,10 @@
     } else if (TakePrefix(path, "/leases")) {
       Lease(request, path, responder);
     } else {
-      responder.Send(Answer(kNotFound, json::object()));
+      responder.Send(Answer(http::kNotFound, json::object()));
     }
   } catch (const json::exception& error) {
-    responder.Send(Answer(kBadRequest, {{"error", error.what()}}));
+    responder.Send(Answer(http::kBadRequest, {{"error", error.what()}}));
   }
 }
 
@@ -181,10 +178,10 @@
 void FakePlatform::Read(const std::string& key, const http::Responder& responder) {
   const Version* version = Visible(key);
   if (version == nullptr) {
-    responder.Send(Answer(kNotFound, json::object()));
+    responder.Send(Answer(http::kNotFound, json::object()));
     return;
   }
-  responder.Send(Answer(kOk, {{"revision", version->revision}, {"value", version->text}}));
+  responder.Send(Answer(http::kOk, {{"revision", version->revision}, {"value", version->text}}));
 }
 
 void FakePlatform::List(const std::string& prefix, const http::Responder& responder) {
@@ -196,7 +193,7 @@
       values[each->first] = {{"revision", version->revision}, {"value", version->text}};
     }
   }
-  responder.Send(Answer(kOk, values));
+  responder.Send(Answer(http::kOk, values));
 }
 
 void FakePlatform::Write(const http::Request& request, const std::string& key,
@@ -208,7 +205,7 @@
   const std::uint64_t current = absent ? 0 : found->second.versions.back().revision;
   if (current != expected) {
     const std::string text = absent ? "" : found->second.versions.back().text;
-    responder.Send(Answer(kConflict, {{"revision", current}, {"value", text}}));
+    responder.Send(Answer(http::kConflict, {{"revision", current}, {"value", text}}));
     return;
   }
   Key& entry = keys_[key];
@@ -226,11 +223,11 @@
       return true;
     }
     watcher.second.responder.Send(
-        Answer(kOk, {{"revision", written.revision}, {"value", written.text}}));
+        Answer(http::kOk, {{"revision", written.revision}, {"value", written.text}}));
     return true;
   });
   if (!faults_.loses_write_replies) {
-    responder.Send(Answer(kOk, {{"revision", written.revision}}));
+    responder.Send(Answer(http::kOk, {{"revision", written.revision}}));
   }
 }
 
@@ -269,11 +266,11 @@
       rest.empty() ? "lease-" + std::to_string(next_revision_++) : rest.substr(1);
   const bool known = lease_ends_ns_.contains(id);
   if (!rest.empty() && !known) {
-    responder.Send(Answer(kNotFound, json::object()));
+    responder.Send(Answer(http::kNotFound, json::object()));
     return;
   }
   lease_ends_ns_[id] = end;
-  responder.Send(Answer(kOk, {{"lease", id}}));
+  responder.Send(Answer(http::kOk, {{"lease", id}}));
 }
 
 void FakePlatform::ExpireLeases() {
