Test the stand-ins, the real daemon with callers that leave, and bad lengths

Cause: the trial of late answers was a test of the HTTP server alone, and the stand-ins' own faults were not tested.

--- a/tests/fakes/fake_callers.cc
+++ b/tests/fakes/fake_callers.cc
@@ -99,7 +99,7 @@
   const std::string prefix =
       load.path_prefix.empty() ? "/v1/services/" + load.service + "/keys/" : load.path_prefix;
   call.url = origin + prefix + asked.key;
-  call.timeout = load.patience;
+  call.timeout = load.leaves_after.count() > 0 ? load.leaves_after : load.patience;
   call.idempotent = !load.commands;
   call.headers = {{"Sycamorestall-Customer", load.customer},
                   {"Sycamorestall-Timeout-Ms", std::to_string(load.patience.count())},
--- a/tests/fakes/fake_callers.h
+++ b/tests/fakes/fake_callers.h
@@ -31,6 +31,9 @@
   std::size_t body_bytes = 0;
   // How long a caller waits before it gives up.
   std::chrono::milliseconds patience{2000};
+  // When a caller closes its connection although it said to have more patience;
+  // 0 for never.
+  std::chrono::milliseconds leaves_after{0};
   // Whether requests carry an Idempotency-Key.
   bool commands = false;
   // Libcurl threads.
--- a/tests/fakes/fake_endpoint.cc
+++ b/tests/fakes/fake_endpoint.cc
@@ -139,6 +139,13 @@
     responder.Send(Plain(http::kUnavailable, R"({"refused":"no slot"})", "not-run"));
     return;
   }
+  const std::chrono::microseconds delay{ServiceTime()};
+  const std::chrono::milliseconds deadline{HeaderNumber(request, "Endpoint-Deadline-Ms")};
+  if (deadline.count() > 0 && delay > deadline) {
+    ++too_late_;
+    responder.Send(Plain(http::kUnavailable, R"({"refused":"too late"})", "not-run"));
+    return;
+  }
   ++runs_;
   const std::string command = HeaderText(request, "Idempotency-Key");
   if (!command.empty()) {
@@ -160,7 +167,6 @@
   by_request_id_[HeaderText(request, "Endpoint-Request")] = number;
   grants_.Begin(shard);
   most_running_ = std::max(most_running_, static_cast<int>(running_.size()));
-  const auto delay = std::chrono::microseconds{ServiceTime()};
   lock.unlock();
   runner_.After(delay, [this, number] { Finish(number); });
 }
@@ -252,6 +258,7 @@
               {"refused", refused_},
               {"shed", shed_},
               {"cancelled", cancelled_},
+              {"too_late", too_late_},
               {"most_running", most_running_},
               {"load", behaviour_.lies ? 0 : running_.size()},
               {"commands", std::move(commands)},
--- a/tests/fakes/fake_endpoint.h
+++ b/tests/fakes/fake_endpoint.h
@@ -92,6 +92,7 @@
   std::uint64_t refused_ = 0;
   std::uint64_t shed_ = 0;
   std::uint64_t cancelled_ = 0;
+  std::uint64_t too_late_ = 0;
   std::uint64_t next_run_ = 1;
   int most_running_ = 0;
   std::ofstream journal_;
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -402,6 +404,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start);
 }
 
+std::string Deployment::SendRaw(const std::string& daemon, const std::string& bytes) const {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket{context};
+  socket.connect({boost::asio::ip::address_v4::loopback(), http_ports_.at(daemon)});
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  std::string answer;
+  boost::system::error_code closed;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), closed);
+  return answer;
+}
+
 std::string Deployment::LogOf(const std::string& name) const {
   return ReadFile(folder_ + "/" + name + ".log");
 }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -86,6 +86,9 @@
   // was not, or said not to be run that was.
   std::string FindLie(const fakes::CallerReport& report) const;
 
+  // Sends bytes to a daemon as they are and gives what it answers until it
+  // closes the connection.
+  std::string SendRaw(const std::string& daemon, const std::string& bytes) const;
   // What a process wrote to its error stream.
   std::string LogOf(const std::string& name) const;
 
--- a/tests/process/path_test.cc
+++ b/tests/process/path_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -177,6 +178,54 @@
   }
 }
 
+TEST_CASE("lengths that are not valid get a clear answer that promises not-run") {
+  Deployment deployment{DeploymentPlan{{"north"}, 1, 1, true, 1000, 6}};
+  REQUIRE(deployment.WaitUntilServed());
+  struct Row {
+    std::string name;
+    std::string head;
+    std::string status;
+  };
+  const std::string line = "PUT /v1/services/soil/keys/a HTTP/1.1\r\n";
+  const Row rows[] = {{"negative", line + "Content-Length: -1\r\n\r\n", " 400 "},
+                      {"huge", line + "Content-Length: 18446744073709551615\r\n\r\n", " 413 "},
+                      {"chunks", line + "Transfer-Encoding: chunked\r\n\r\n", " 411 "},
+                      {"garbage", "soil\r\n\r\n", " 400 "}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const std::string answer = deployment.SendRaw(deployment.DaemonNames().front(), row.head);
+    CHECK(answer.find(row.status) != std::string::npos);
+    CHECK(answer.find("Sycamorestall-Outcome: not-run") != std::string::npos);
+    CHECK(answer.find(R"({"error":{"code":"malformed-request")") != std::string::npos);
+  }
+}
+
+TEST_CASE("through the daemons every caller gets its own answer although others leave early") {
+  DeploymentPlan plan{{"north", "south"}, 1, 2, true, 10'000, 64};
+  Deployment deployment{plan};
+  REQUIRE(deployment.WaitUntilServed());
+  fakes::CallerLoad staying;
+  staying.origins = deployment.origins();
+  staying.service = "soil";
+  staying.rate = 500;
+  staying.duration = std::chrono::milliseconds{4000};
+  fakes::CallerLoad leaving = staying;
+  leaving.seed = 2;
+  // Answers take 10 ms and more, so these callers are gone when they come.
+  leaving.leaves_after = std::chrono::milliseconds{9};
+  auto early = std::async(std::launch::async, [&] { return RunCallers(leaving); });
+  const fakes::CallerReport stayed = RunCallers(staying);
+  const fakes::CallerReport left = early.get();
+  MESSAGE("stayed ", WriteReport(stayed), " left ", WriteReport(left));
+  CHECK(stayed.run == stayed.asked);
+  CHECK(stayed.wrong == 0U);
+  CHECK(left.wrong == 0U);
+  CHECK(left.no_answer * 2 > left.asked);
+  for (const std::string& name : deployment.DaemonNames()) {
+    CHECK(deployment.Terminate(name) == 0);
+  }
+}
+
 TEST_CASE("a command that is sent again gets its first answer and runs once") {
   Deployment deployment{DeploymentPlan{{"north"}, 2, 1, true, 1000, 6}};
   REQUIRE(deployment.WaitUntilServed());
