Shorten the taking of replies, and answer questions whose leader is silent

Change: the part that adopts a reply is a function of its own; a question to a leader that does not answer within a second is answered from what this daemon knows, where it waited for ever before.

--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -117,6 +117,7 @@
   network_.Tick(now);
   TickConfig(now);
   SendGossip();
+  TickQuestions(now);
   TickDrain(now);
 }
 
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -87,6 +87,7 @@
   void TickLeadership(Instant now);
   void TickConfig(Instant now);
   void TickDrain(Instant now);
+  void TickQuestions(Instant now);
   void HandOverGroup(GroupRunner& runner, Instant now);
   void SendGossip();
   bool IsCut(const DomainName& domain) const { return cut_domains_.contains(domain); }
@@ -119,7 +120,15 @@
   };
   std::map<std::uint64_t, Served> served_;
   std::uint64_t next_served_ = 1;
-  std::map<std::uint64_t, std::function<void(std::string)>> explaining_;
+  // Questions to leaders that have not been answered yet.
+  struct Question {
+    GroupId group;
+    ShardId shard;
+    std::string key;
+    std::function<void(std::string)> callback;
+    Instant deadline;
+  };
+  std::map<std::uint64_t, Question> questions_;
   std::uint64_t next_explain_ = 1;
   std::set<DomainName> cut_domains_;
   std::uint64_t watch_generation_ = 0;
--- a/src/app/daemon_messages.cc
+++ b/src/app/daemon_messages.cc
@@ -9,6 +9,14 @@
 
 namespace sycamorestall {
 
+namespace {
+
+// How long a leader may take to explain a key before this daemon says what it
+// knows itself.
+constexpr std::chrono::milliseconds kQuestionPatience{1000};
+
+}  // namespace
+
 void Daemon::LinkLost(const std::string& address, PeerChannel channel, bool refused) {
   const Instant now = BootNow();
   for (const Member& member : membership_.Alive()) {
@@ -150,7 +158,19 @@
     callback(ExplainKey(*this, group, shard, key));
     return;
   }
-  explaining_[number] = callback;
+  questions_[number] = {group, shard, key, callback, BootNow() + kQuestionPatience};
+}
+
+void Daemon::TickQuestions(Instant now) {
+  for (auto each = questions_.begin(); each != questions_.end();) {
+    if (now < each->second.deadline) {
+      ++each;
+      continue;
+    }
+    const Question late = std::move(each->second);
+    each = questions_.erase(each);
+    late.callback(ExplainKey(*this, late.group, late.shard, late.key));
+  }
 }
 
 void Daemon::Take(const PeerSource& source, const ExplainRequest& request) {
@@ -165,12 +185,12 @@
 }
 
 void Daemon::Take(const PeerSource&, const ExplainReply& reply) {
-  const auto found = explaining_.find(reply.number);
-  if (found == explaining_.end()) {
+  const auto found = questions_.find(reply.number);
+  if (found == questions_.end()) {
     return;
   }
-  const auto callback = std::move(found->second);
-  explaining_.erase(found);
+  const auto callback = std::move(found->second.callback);
+  questions_.erase(found);
   callback(reply.text);
 }
 
--- a/src/core/group_leader.h
+++ b/src/core/group_leader.h
@@ -146,6 +146,8 @@
   void BeginWriteIfDue(Instant now);
 
   void SendNextOrder(Instant now, const InstanceId& id, EndpointRow& row);
+  void AdoptReply(Instant now, const InstanceId& endpoint, EndpointRow& row,
+                  const EndpointReply& reply);
   void AddGrants(const InstanceId& id, const EndpointRow& row, EndpointOrder& order) const;
   void AdvanceShard(Instant now, ShardId id, ShardRow& shard);
   void AdvanceOwned(Instant now, ShardId id, ShardRow& shard, const EndpointRow& owner);
--- a/src/core/group_leader_shards.cc
+++ b/src/core/group_leader_shards.cc
@@ -10,6 +10,9 @@
 
 // Without an answer for this many orders an endpoint counts as unreachable.
 constexpr std::uint32_t kFailuresToDoubt = 2;
+// While something is under way at an endpoint, orders follow this many times as
+// quickly as renewals.
+constexpr int kHurry = 10;
 // What a newcomer carries of a full share at first.
 constexpr double kColdShare = 0.2;
 // What is left of a shard's counted demand after each placement interval.
@@ -92,23 +95,33 @@
     Resign(now, std::nullopt);
     return;
   }
+  AdoptReply(now, endpoint, row, reply);
+  if (!quiet_) {
+    TickShards(now);
+    BeginWriteIfDue(now);
+  }
+}
+
+void GroupLeader::AdoptReply(Instant now, const InstanceId& endpoint, EndpointRow& row,
+                             const EndpointReply& reply) {
+  const Duration lease = settings_.time_to_live;
+  const bool accepted = reply.verdict == OrderVerdict::kAccepted;
+  const bool extended = accepted && row.order->stamp.has_value();
   const bool restarted = row.stamp && row.stamp->incarnation != reply.stamp.incarnation;
-  const bool extended = reply.verdict == OrderVerdict::kAccepted && row.order->stamp.has_value();
   if (restarted) {
     Say("endpoint " + endpoint.value() + " restarted");
     row.confirmed = false;
     row.lease_sure_until = Instant{};
   }
   if (extended) {
-    row.lease_sure_until = row.stamp_order_sent + settings_.time_to_live - settings_.clock_margin;
+    row.lease_sure_until = row.stamp_order_sent + lease - settings_.clock_margin;
   }
-  if (reply.verdict == OrderVerdict::kAccepted && !row.fenced) {
+  if (accepted && !row.fenced) {
     row.fenced = true;
     row.fenced_at = now;
-    row.may_hold_until =
-        std::max(row.may_hold_until, now + settings_.time_to_live + settings_.clock_margin);
+    row.may_hold_until = std::max(row.may_hold_until, now + lease + settings_.clock_margin);
   }
-  const bool soon = !extended || !row.order->grants.empty() || !row.order->revocations.empty();
+  const bool changes = !row.order->grants.empty() || !row.order->revocations.empty();
   row.stamp = reply.stamp;
   row.stamp_received = now;
   row.stamp_order_sent = row.order_sent;
@@ -116,19 +129,15 @@
   row.failures = 0;
   row.doubted = false;
   row.leaving = row.leaving || reply.leaving;
+  row.draining = {reply.draining.begin(), reply.draining.end()};
   std::map<ShardId, Epoch> held;
   for (const ShardGrant& grant : reply.held) {
     held.emplace_hint(held.end(), grant.shard, grant.epoch);
   }
   quiet_ = quiet_ && extended && !restarted && !row.leaving && held == row.held;
   row.held = std::move(held);
-  row.draining = {reply.draining.begin(), reply.draining.end()};
-  row.next_order = soon || !row.draining.empty() ? now + settings_.renew_interval / 10
-                                                 : now + settings_.renew_interval;
-  if (!quiet_) {
-    TickShards(now);
-    BeginWriteIfDue(now);
-  }
+  const bool soon = !extended || changes || !row.draining.empty();
+  row.next_order = now + (soon ? settings_.renew_interval / kHurry : settings_.renew_interval);
 }
 
 void GroupLeader::FailOrder(Instant now, const InstanceId& endpoint, std::uint64_t sequence) {
