--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kTickPeriod{10};
 constexpr std::chrono::milliseconds kKnowledgePeriod{300};
 constexpr std::chrono::milliseconds kLeadersRetry{500};
+constexpr std::chrono::milliseconds kMetricsPeriod{1000};
 // A daemon that leaves goes on taking requests this long, until the platform's
 // balancer has seen that it is not ready.
 constexpr std::chrono::milliseconds kDrainLeast{1000};
@@ -118,6 +119,7 @@
   TickConfig(now);
   SendGossip();
   TickQuestions(now);
+  TickMetrics(now);
   TickDrain(now);
 }
 
@@ -326,6 +328,37 @@
   network_.Cut(std::move(addresses));
 }
 
+void Daemon::TickMetrics(Instant now) {
+  const Duration elapsed = now - last_metrics_;
+  if (elapsed < kMetricsPeriod) {
+    return;
+  }
+  const bool first = last_metrics_ == Instant{};
+  last_metrics_ = now;
+  for (const auto& [group, runner] : runners_) {
+    const std::string label = "{group=\"" + ToString(group) + "\"}";
+    metrics_.Set("group_led" + label, runner->leads() ? 1 : 0);
+    if (!runner->leads()) {
+      continue;
+    }
+    const GroupLeader& leader = runner->leader();
+    const auto unserved = static_cast<double>(leader.UnservedCount(now));
+    metrics_.Set("group_shards_unserved" + label, unserved);
+    metrics_.Set("group_moves" + label, static_cast<double>(leader.moves()));
+    metrics_.Set("group_imbalance" + label, leader.Imbalance(now));
+    metrics_.Set("group_waiting" + label, static_cast<double>(runner->waiting()));
+    metrics_.Set("group_running" + label, static_cast<double>(runner->running()));
+    if (!first) {
+      metrics_.Count("shard_seconds_unserved_total" + label,
+                     unserved * std::chrono::duration<double>(elapsed).count());
+    }
+  }
+  const ConfigVersions versions = config_.versions();
+  metrics_.Set("config_version{list=\"plans\"}", static_cast<double>(versions.plans));
+  metrics_.Set("config_version{list=\"customers\"}", static_cast<double>(versions.customers));
+  metrics_.Set("daemons_alive", static_cast<double>(membership_.Alive().size()));
+}
+
 void Daemon::Drain() {
   if (draining_) {
     return;
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -88,6 +88,7 @@
   void TickConfig(Instant now);
   void TickDrain(Instant now);
   void TickQuestions(Instant now);
+  void TickMetrics(Instant now);
   void HandOverGroup(GroupRunner& runner, Instant now);
   void SendGossip();
   bool IsCut(const DomainName& domain) const { return cut_domains_.contains(domain); }
@@ -133,6 +134,7 @@
   std::set<DomainName> cut_domains_;
   std::uint64_t watch_generation_ = 0;
   Instant next_list_;
+  Instant last_metrics_;
   Instant next_knowledge_;
   Instant drain_started_;
   bool list_open_ = false;
--- a/tests/process/path_test.cc
+++ b/tests/process/path_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "clock/system_clock.h"
@@ -226,6 +227,35 @@
   }
 }
 
+TEST_CASE("a daemon shows its health, its figures and changes its log level") {
+  Deployment deployment{DeploymentPlan{{"north"}, 1, 1, true, 1000, 6}};
+  REQUIRE(deployment.WaitUntilServed());
+  const std::string origin = deployment.origins().front();
+  CHECK(deployment.TimeUntilServed("soil", "a", origin) < std::chrono::seconds{5});
+  std::this_thread::sleep_for(std::chrono::milliseconds{1200});
+  CHECK(Ask(origin + "/healthz", http::Method::kGet, {}).status == 200);
+  CHECK(Ask(origin + "/readyz", http::Method::kGet, {}).status == 200);
+  const std::string metrics = Ask(origin + "/metrics", http::Method::kGet, {}).body;
+  for (const std::string line :
+       {"request_seconds_count{rank=\"reads\",outcome=\"run\"} 1", "queue_seconds_count",
+        "store_calls_total{cause=\"group write\"}", "orders_total",
+        "group_shards_unserved{group=\"soil/north\"} 0", "group_imbalance{group=\"soil/north\"} 1",
+        "config_version{list=\"plans\"} 1", "daemons_alive 1"}) {
+    CAPTURE(line);
+    CHECK(metrics.find("sycamorestall_" + line) != std::string::npos);
+  }
+  const auto level = [&](const std::string& body) {
+    return Ask(origin + "/v1/log-level", http::Method::kPut, {}, body).status;
+  };
+  CHECK(level(R"({"level":"loud"})") == 400);
+  CHECK(level(R"({"level":"error"})") == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds{300});
+  const std::size_t before = deployment.LogOf(deployment.DaemonNames().front()).size();
+  CHECK(deployment.TimeUntilServed("soil", "b", origin) < std::chrono::seconds{5});
+  std::this_thread::sleep_for(std::chrono::milliseconds{300});
+  CHECK(deployment.LogOf(deployment.DaemonNames().front()).size() == before);
+}
+
 TEST_CASE("a command that is sent again gets its first answer and runs once") {
   Deployment deployment{DeploymentPlan{{"north"}, 2, 1, true, 1000, 6}};
   REQUIRE(deployment.WaitUntilServed());
