--- a/tests/process/command_line_test.cc
+++ b/tests/process/command_line_test.cc
@@ -35,7 +35,7 @@
 }
 
 std::string WriteFile(const std::string& name, const std::string& text) {
-  const std::string path = (std::filesystem::temp_directory_path() / name).string();
+  std::string path = (std::filesystem::temp_directory_path() / name).string();
   std::ofstream(path) << text;
   return path;
 }
