Route the platform's requests: one loop for callers, endpoints, store and daemons

Cause: the product spoke only its own interface over five threads and two HTTP libraries. Change: a routing daemon on one Asio loop with Beast's parsers, range ownership by a leader over the store's record, and an adapter in platform/.

--- a/src/app/command_line.cc
+++ b/src/app/command_line.cc
@@ -10,8 +10,10 @@
 
 #include "app/daemon.h"
 #include "app/operator_client.h"
+#include "config/router_settings.h"
 #include "config/settings_parser.h"
 #include "log/log.h"
+#include "platform/route_command.h"
 
 namespace sycamorestall {
 
@@ -28,35 +30,32 @@
   std::string author = "operator";
   std::int64_t expected_version = -1;
   bool wait = false;
+  bool router = false;
   int patience_s = kDefaultPatienceS;
 };
 
 // What to do once the arguments are read.
 using Action = std::function<ExitStatus()>;
 
-ExitStatus CheckConfig(const std::string& file) {
-  const auto loaded = LoadSettings(file);
+// Loads settings by a function and runs another one over them.
+template <typename Settings, typename Load, typename Use>
+ExitStatus WithSettings(const std::string& file, Load load, Use use) {
+  const auto loaded = load(file);
   if (const auto* error = std::get_if<SettingsError>(&loaded)) {
     std::cerr << ToString(*error) << "\n";
     return ExitStatus::kBadSettings;
   }
-  std::cout << file << ": valid\n";
-  return ExitStatus::kDone;
+  return use(std::get<Settings>(loaded));
 }
 
-ExitStatus Serve(const std::string& file) {
-  const auto loaded = LoadSettings(file);
-  if (const auto* error = std::get_if<SettingsError>(&loaded)) {
-    std::cerr << ToString(*error) << "\n";
-    return ExitStatus::kBadSettings;
-  }
-  const auto& settings = std::get<Settings>(loaded);
+// Runs a daemon, and says why if it cannot.
+template <typename Run>
+ExitStatus RunDaemon(LogLevel level, Run run) {
   std::signal(SIGPIPE, SIG_IGN);
-  StartLog(settings.log_level);
+  StartLog(level);
   ExitStatus status = ExitStatus::kDone;
   try {
-    Daemon daemon{settings};
-    daemon.Run();
+    run();
   } catch (const std::exception& error) {
     std::cerr << "sycamorestall: cannot serve: " << error.what() << "\n";
     status = ExitStatus::kFailed;
@@ -65,6 +64,30 @@
   return status;
 }
 
+ExitStatus CheckConfig(const std::string& file, bool router) {
+  const auto valid = [&file](const auto& /*settings*/) {
+    std::cout << file << ": valid\n";
+    return ExitStatus::kDone;
+  };
+  return router ? WithSettings<RouterSettings>(file, LoadRouterSettings, valid)
+                : WithSettings<Settings>(file, LoadSettings, valid);
+}
+
+ExitStatus Serve(const std::string& file) {
+  return WithSettings<Settings>(file, LoadSettings, [](const Settings& settings) {
+    return RunDaemon(settings.log_level, [&settings] {
+      Daemon daemon{settings};
+      daemon.Run();
+    });
+  });
+}
+
+ExitStatus RouteRequests(const std::string& file) {
+  return WithSettings<RouterSettings>(file, LoadRouterSettings, [](const RouterSettings& settings) {
+    return RunDaemon(settings.log_level, [&settings] { platform::RunRoutingDaemon(settings); });
+  });
+}
+
 void AddOrigin(CLI::App& command, Options& options) {
   command.add_option("--daemon", options.origin, "Origin of the daemon to ask.")
       ->envname("SYCAMORESTALL_DAEMON")
@@ -106,9 +129,16 @@
   CLI::App* serve = app.add_subcommand("serve", "Runs a daemon.");
   serve->add_option("--config", options.file, "The settings, in TOML.")->required();
   serve->callback([&] { action = [&options] { return Serve(options.file); }; });
+  CLI::App* route = app.add_subcommand("route", "Runs a daemon that follows the platform.");
+  route->add_option("--config", options.file, "The settings, in TOML.")
+      ->envname("SYCAMORESTALL_CONFIG")
+      ->required();
+  route->callback([&] { action = [&options] { return RouteRequests(options.file); }; });
   CLI::App* check = app.add_subcommand("check-config", "Checks a settings file.");
   check->add_option("file", options.file, "The settings, in TOML.")->required();
-  check->callback([&] { action = [&options] { return CheckConfig(options.file); }; });
+  check->add_flag("--router", options.router, "The file is for the route command.");
+  check->callback(
+      [&] { action = [&options] { return CheckConfig(options.file, options.router); }; });
   CLI::App* status = app.add_subcommand("status", "Prints how a daemon and its groups stand.");
   AddOrigin(*status, options);
   status->callback(
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -7,22 +7,12 @@
 #include <vector>
 
 #include "core/identifiers.h"
+#include "core/network_address.h"
 #include "core/rank_budget.h"
 #include "log/log.h"
 
 namespace sycamorestall {
 
-// An IP number and a port.
-struct NetworkAddress {
-  std::string host;
-  std::uint16_t port = 0;
-
-  friend bool operator==(const NetworkAddress&, const NetworkAddress&) = default;
-};
-
-// The address as host:port.
-std::string ToString(const NetworkAddress& address);
-
 // A rank: its name and its share of a daemon.
 struct RankSettings {
   std::string name;
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -1,60 +1,20 @@
 #include "config/settings_parser.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
-#include <fstream>
 #include <limits>
-#include <sstream>
 
-#include "config/toml_reader.h"
+#include "config/settings_fields.h"
 
 namespace sycamorestall {
 
 namespace {
 
-constexpr std::size_t kLongestName = 64;
 constexpr std::uint32_t kMostShards = 1 << 16;
 constexpr std::int64_t kMostBodyBytes = std::int64_t{64} << 20;
 constexpr std::int64_t kMostRequests = 1'000'000;
 constexpr std::int64_t kMinuteMs = 60'000;
 constexpr std::int64_t kDayMs = 1440 * kMinuteMs;
 
-bool IsName(const std::string& text) {
-  const auto fits = [](unsigned char c) {
-    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
-  };
-  return !text.empty() && text.size() <= kLongestName &&
-         std::all_of(text.begin(), text.end(), fits);
-}
-
-std::string CheckedName(TomlReader& reader, const std::string& field) {
-  std::string text = reader.Text(field);
-  if (!IsName(text)) {
-    reader.Fail(field, "must be up to 64 letters, digits, '-', '_' or '.'");
-  }
-  return text;
-}
-
-NetworkAddress ParseAddress(TomlReader& reader, const std::string& field) {
-  const std::string text = reader.Text(field);
-  const std::size_t colon = text.rfind(':');
-  const std::string why = "must be an IP number and a port, such as 127.0.0.1:8080";
-  if (colon == std::string::npos) {
-    reader.Fail(field, why);
-  }
-  NetworkAddress address{text.substr(0, colon), 0};
-  boost::system::error_code bad_host;
-  boost::asio::ip::make_address(address.host, bad_host);
-  const char* begin = text.data() + colon + 1;
-  const char* end = text.data() + text.size();
-  const auto [last, bad_port] = std::from_chars(begin, end, address.port);
-  if (bad_host || bad_port != std::errc{} || last != end || address.port == 0) {
-    reader.Fail(field, why);
-  }
-  return address;
-}
-
 void ParseDaemon(TomlReader reader, Settings& settings) {
   settings.instance = InstanceId{CheckedName(reader, "instance")};
   settings.domain = DomainName{CheckedName(reader, "domain")};
@@ -64,10 +24,7 @@
   settings.max_in_flight =
       static_cast<std::size_t>(reader.Number("max_in_flight", {1, kMostRequests}, 4000));
   settings.allow_faults = reader.Flag("allow_faults", false);
-  const std::string level = reader.Text("log_level", "info");
-  if (!ParseLogLevel(level, settings.log_level)) {
-    reader.Fail("log_level", "must be debug, info, warning or error");
-  }
+  settings.log_level = ParseLevel(reader);
   reader.RefuseOthers();
 }
 
@@ -180,10 +137,6 @@
 
 }  // namespace
 
-std::string ToString(const NetworkAddress& address) {
-  return address.host + ":" + std::to_string(address.port);
-}
-
 std::string ToString(const SettingsError& error) {
   std::string text = error.file + ":" + std::to_string(error.line) + ": ";
   if (!error.field.empty()) {
@@ -194,24 +147,11 @@
 
 std::variant<Settings, SettingsError> ParseSettings(std::string_view text,
                                                     const std::string& file) {
-  try {
-    const toml::table table = toml::parse(text);
-    return ParseAll(TomlReader{table, "", file});
-  } catch (const toml::parse_error& error) {
-    return SettingsError{file, error.source().begin.line, "", std::string(error.description())};
-  } catch (const SettingsProblem& problem) {
-    return problem.error;
-  }
+  return ParseTable<Settings>(text, file, ParseAll);
 }
 
 std::variant<Settings, SettingsError> LoadSettings(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return SettingsError{file, 0, "", "cannot be read"};
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return ParseSettings(text.str(), file);
+  return LoadTable<Settings>(file, ParseSettings);
 }
 
 }  // namespace sycamorestall
--- /dev/null
+++ b/src/core/endpoint_fleet.cc
@@ -0,0 +1,116 @@
+#include "core/endpoint_fleet.h"
+
+#include <algorithm>
+
+namespace sycamorestall {
+
+namespace {
+
+// Weight of the newest answer in the means.
+constexpr double kAnswerWeight = 0.1;
+constexpr double kFailureWeight = 0.1;
+// How long an endpoint is passed over after it could not be reached, doubled
+// with each further time.
+constexpr std::chrono::milliseconds kFirstAvoidance{300};
+constexpr std::uint32_t kMaxDoublings = 4;
+
+}  // namespace
+
+void EndpointFleet::Put(const EndpointEntry& entry, Instant now) {
+  EndpointState& state = endpoints_[entry.id];
+  const bool is_new = state.entry.id.empty() || state.entry.incarnation != entry.incarnation ||
+                      state.entry.address != entry.address;
+  if (is_new) {
+    const std::size_t in_flight = state.in_flight;
+    state = {};
+    state.in_flight = in_flight;
+    state.listed_at = now;
+  }
+  state.entry = entry;
+  state.warm_at = now + entry.warm_up_left;
+  if (!entry.draining) {
+    state.leaving_since.reset();
+  } else if (!state.leaving_since) {
+    state.leaving_since = now;
+  }
+}
+
+void EndpointFleet::Remove(const InstanceId& id) { endpoints_.erase(id); }
+
+const EndpointState* EndpointFleet::Find(const InstanceId& id) const {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+EndpointState* EndpointFleet::FindMutable(const InstanceId& id) {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+std::vector<const EndpointState*> EndpointFleet::OfService(const ServiceName& service) const {
+  std::vector<const EndpointState*> found;
+  for (const auto& [id, state] : endpoints_) {
+    if (state.entry.service == service) {
+      found.push_back(&state);
+    }
+  }
+  return found;
+}
+
+double EndpointFleet::MeanAnswerSeconds(const ServiceName& service) const {
+  double sum = 0;
+  std::size_t count = 0;
+  for (const auto& [id, state] : endpoints_) {
+    if (state.entry.service == service && state.answer_s > 0) {
+      sum += state.answer_s;
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
+void EndpointFleet::BeginRequest(const InstanceId& id) {
+  if (EndpointState* state = FindMutable(id)) {
+    ++state->in_flight;
+  }
+}
+
+void EndpointFleet::CancelRequest(const InstanceId& id) {
+  EndpointState* state = FindMutable(id);
+  if (state != nullptr && state->in_flight > 0) {
+    --state->in_flight;
+  }
+}
+
+void EndpointFleet::EndRequest(const InstanceId& id, EndpointEvidence evidence, Duration elapsed,
+                               Instant now) {
+  CancelRequest(id);
+  EndpointState* state = FindMutable(id);
+  if (state == nullptr) {
+    return;
+  }
+  const bool failed =
+      evidence == EndpointEvidence::kFailed || evidence == EndpointEvidence::kUnreachable;
+  state->failure_share += kFailureWeight * ((failed ? 1.0 : 0.0) - state->failure_share);
+  if (evidence == EndpointEvidence::kUnreachable) {
+    const std::uint32_t doublings = std::min(state->unreachable_in_a_row, kMaxDoublings);
+    state->avoid_until = now + kFirstAvoidance * (1U << doublings);
+    ++state->unreachable_in_a_row;
+    return;
+  }
+  state->unreachable_in_a_row = 0;
+  if (evidence == EndpointEvidence::kServed) {
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    state->answer_s = state->answer_s == 0
+                          ? seconds
+                          : state->answer_s + kAnswerWeight * (seconds - state->answer_s);
+  }
+}
+
+void EndpointFleet::SetPeersInFlight(const InstanceId& id, std::size_t count) {
+  if (EndpointState* state = FindMutable(id)) {
+    state->peers_in_flight = count;
+  }
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/core/endpoint_fleet.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/endpoint_entry.h"
+
+namespace sycamorestall {
+
+// How a request ended at an endpoint, as far as that tells of the endpoint.
+enum class EndpointEvidence {
+  // It ran the request.
+  kServed,
+  // It answered that it has no room, or does not own the key.
+  kDeclined,
+  // It failed a request that it could have run.
+  kFailed,
+  // No connection, no answer, or an answer that cannot be read.
+  kUnreachable,
+};
+
+// What a daemon knows of an endpoint.
+struct EndpointState {
+  EndpointEntry entry;
+  // When the entry was first seen, and since when the endpoint is leaving.
+  Instant listed_at;
+  // Until when it is slow after its start.
+  Instant warm_at;
+  std::optional<Instant> leaving_since;
+  // Requests of this daemon that it runs or has queued.
+  std::size_t in_flight = 0;
+  // The same of all other daemons, by what each of them said last.
+  std::size_t peers_in_flight = 0;
+  // Mean time of an answer in seconds, queueing included; 0 while unknown.
+  double answer_s = 0;
+  // Share of requests that failed lately, 0 to 1.
+  double failure_share = 0;
+  std::uint32_t unreachable_in_a_row = 0;
+  // Before then the endpoint is passed over if another one can serve.
+  Instant avoid_until;
+
+  // Requests of all daemons that it has.
+  std::size_t load() const { return in_flight + peers_in_flight; }
+};
+
+// All listed endpoints, and what requests have shown of each.
+class EndpointFleet {
+ public:
+  // Adds an endpoint, or replaces what the list says of it. A new incarnation
+  // starts with a clean record.
+  void Put(const EndpointEntry& entry, Instant now);
+  // Forgets an endpoint that the list no longer names.
+  void Remove(const InstanceId& id);
+
+  // The endpoint; null when it is not listed.
+  const EndpointState* Find(const InstanceId& id) const;
+  // All endpoints of a service.
+  std::vector<const EndpointState*> OfService(const ServiceName& service) const;
+  const std::map<InstanceId, EndpointState>& all() const { return endpoints_; }
+  // Mean time of an answer of a service's endpoints in seconds; 0 while unknown.
+  double MeanAnswerSeconds(const ServiceName& service) const;
+
+  // Counts a request on its way to an endpoint.
+  void BeginRequest(const InstanceId& id);
+  // Counts its end. The elapsed time is learnt from only if it was served.
+  void EndRequest(const InstanceId& id, EndpointEvidence evidence, Duration elapsed, Instant now);
+  // Counts the end of a request that says nothing of the endpoint.
+  void CancelRequest(const InstanceId& id);
+  // Sets how many requests the other daemons have at an endpoint.
+  void SetPeersInFlight(const InstanceId& id, std::size_t count);
+
+ private:
+  EndpointState* FindMutable(const InstanceId& id);
+
+  std::map<InstanceId, EndpointState> endpoints_;
+};
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/core/key_leader.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/endpoint_fleet.h"
+#include "core/key_placement.h"
+#include "core/ownership_record.h"
+
+namespace sycamorestall {
+
+// The times by which one service's keys are led.
+struct KeyLeaderSettings {
+  ServiceName service;
+  // This daemon.
+  InstanceId self;
+  // For how long an endpoint may serve keys after a grant arrives.
+  std::chrono::milliseconds time_to_live{4000};
+  // How much slower than true time an endpoint's clock may run.
+  double clock_drift = 0.02;
+  // A grant that was sent is taken to have arrived within this time or never.
+  std::chrono::milliseconds transit{400};
+  std::chrono::milliseconds renew_interval{1300};
+  std::chrono::milliseconds order_retry{300};
+  // For how long after the store was last heard grants are still given, and how
+  // long a next leader waits before it takes an earlier one to be silent.
+  std::chrono::milliseconds authority{5000};
+  std::chrono::milliseconds earlier_authority{6500};
+  // An endpoint that the list lacks is taken as gone once the store has been
+  // reachable for so long.
+  std::chrono::milliseconds list_settle{2500};
+  // Before the very first grant the list has to stay the same for so long.
+  std::chrono::milliseconds first_settle{1200};
+  // Daemons whose leases lapsed in an outage of the store get so long to be back.
+  std::chrono::milliseconds return_settle{1500};
+  std::chrono::milliseconds placement_interval{500};
+};
+
+// What the leader knows from the store.
+struct StoreView {
+  // At this moment nothing was written that is not known here.
+  Instant confirmed_at;
+  bool reachable = false;
+  Instant reachable_since;
+  // Daemons that hold a lease, this one included.
+  std::set<InstanceId> daemons;
+};
+
+// Asks for the record to be written if it still has the expected revision.
+struct WriteOwnership {
+  OwnershipRecord record;
+  Revision expected;
+};
+// Asks for a grant to be sent.
+struct SendGrant {
+  std::uint64_t order = 0;
+  InstanceId endpoint;
+  NetworkAddress address;
+  KeyGrant grant;
+};
+// Asks for keys to be taken back.
+struct SendRelease {
+  std::uint64_t order = 0;
+  InstanceId endpoint;
+  NetworkAddress address;
+  KeyRange range;
+  FencingToken token;
+};
+// Says that requests of some keys go elsewhere from now on.
+struct RoutesChanged {};
+// Says in one sentence what was decided, for the log.
+struct LeaderDecision {
+  std::string text;
+};
+using KeyLeaderAction =
+    std::variant<WriteOwnership, SendGrant, SendRelease, RoutesChanged, LeaderDecision>;
+
+// How a write of the record ended.
+enum class RecordVerdict { kWritten, kConflict, kUnknown, kNotWritten };
+
+// Leads the keys of one service: grants them to endpoints, renews the grants and
+// moves keys so that none has two holders. Any daemon may lead; the record in the
+// store says which one does. It does no I/O: each call says what time it is and
+// what was heard, and leaves actions to be carried out.
+class KeyLeader {
+ public:
+  KeyLeader(KeyLeaderSettings settings, std::unique_ptr<KeyPlacement> placement);
+
+  // The record in the store is this one; revision 0 says that there is none.
+  void TakeRecord(const OwnershipRecord& record, Revision revision, Instant now);
+  // The write of the record with this change id ended.
+  void TakeWrite(const std::string& change_id, RecordVerdict verdict, Revision revision,
+                 Instant now);
+  // An order was answered, or was not; unanswered orders may still be obeyed.
+  void TakeReply(std::uint64_t order, const OrderReply& reply, Instant now);
+  void TakeSilence(std::uint64_t order, bool sent, Instant now);
+  // An endpoint says that it does not hold a key that was granted to it.
+  void TakeDenial(KeyNumber key, const InstanceId& endpoint, Instant now);
+  // Requests for keys, counted by this daemon or another.
+  void TakeDemand(const std::vector<KeyCount>& counts);
+  // Runs what time and the list bring about.
+  void Tick(const EndpointFleet& fleet, const StoreView& store, Instant now);
+  // Gives the lead up for good, if it is held.
+  void StepDown() { stepping_down_ = true; }
+
+  std::vector<KeyLeaderAction> TakeActions();
+
+  bool leading() const { return phase_ == Phase::kLeading; }
+  Term term() const { return record_.term; }
+  // The keys that are served, with their owners. Others wait for one.
+  std::vector<OwnedRange> ServedRanges() const;
+
+ private:
+  enum class Phase { kFollowing, kClaiming, kLeading };
+  enum class RowPhase {
+    // The record names the owner; grants are sent to it.
+    kOwned,
+    // Its owner was asked to give the keys back.
+    kReleasing,
+    // Its owner cannot be asked; its grant runs out by itself.
+    kExpiring,
+    // Nobody holds the keys; a write names their next owner.
+    kFree,
+  };
+  struct Row {
+    OwnedRange owned;
+    RowPhase phase = RowPhase::kOwned;
+    // The next owner, while the keys are on their way.
+    std::optional<InstanceId> target;
+    std::string handover;
+    // Whether the owner answered a grant to this leader.
+    bool granted = false;
+    // Whether requests may go to the owner: it is thought to hold the keys.
+    bool serving = false;
+    Instant next_order;
+    // The order that is on its way; 0: none.
+    std::uint64_t order = 0;
+    Instant order_sent;
+    std::uint32_t silences = 0;
+    // Until when the owner may count a grant as live, and the same without the
+    // grant on its way.
+    Instant held_until;
+    Instant held_before_order;
+    // Until when a grant may be live that was sent and not answered.
+    Instant doubtful_until;
+  };
+
+  void Explain(std::string text);
+  bool MayOrder(const StoreView& store, Instant now) const;
+  Duration HoldTime() const;
+  void ConsiderClaim(const EndpointFleet& fleet, const StoreView& store, Instant now);
+  bool ListIsSettled(const EndpointFleet& fleet, Instant now);
+  void Claim(Instant now);
+  void FinishWrite(Revision revision, Instant now);
+  void RepeatWrite(Instant now);
+  void Lead(Instant now);
+  void FirstAssignment(const EndpointFleet& fleet);
+  void AdvanceRows(const EndpointFleet& fleet, const StoreView& store, Instant now);
+  void AdvanceOwned(Row& row, const EndpointFleet& fleet, const StoreView& store, Instant now);
+  void AdvanceExpiring(Row& row, Instant now);
+  void SendGrantFor(Row& row, Instant now);
+  void BeginRelease(Row& row, std::optional<InstanceId> target, const std::string& reason,
+                    Instant now);
+  void Free(Row& row);
+  void AssignFree(const EndpointFleet& fleet);
+  void PlanMoves(const EndpointFleet& fleet, const StoreView& store, Instant now);
+  void StartMove(const KeyMove& move, Instant now);
+  void MergeRows();
+  void BeginWrite(OwnershipRecord record);
+  OwnershipRecord CurrentRecord() const;
+  std::vector<KeyTarget> Targets(const EndpointFleet& fleet) const;
+  std::optional<InstanceId> LeastLoaded(const std::vector<KeyTarget>& targets,
+                                        const std::map<InstanceId, double>& rates) const;
+  Row* RowOfOrder(std::uint64_t order);
+  NetworkAddress AddressOf(const InstanceId& endpoint) const;
+
+  const KeyLeaderSettings settings_;
+  std::unique_ptr<KeyPlacement> placement_;
+  Phase phase_ = Phase::kFollowing;
+  // What the store holds, as far as is known.
+  OwnershipRecord record_;
+  Revision revision_;
+  bool record_known_ = false;
+  // The write on its way.
+  std::optional<OwnershipRecord> writing_;
+  bool write_in_doubt_ = false;
+  std::uint64_t next_change_ = 1;
+  std::uint64_t next_order_ = 1;
+  Instant claimed_at_;
+  bool earlier_leader_silent_ = true;
+  std::optional<Instant> leaderless_since_;
+  bool stepping_down_ = false;
+  std::vector<Row> rows_;
+  std::map<InstanceId, NetworkAddress> addresses_;
+  KeyDemand demand_;
+  Instant next_placement_;
+  // When the write is sent again whose result is not known.
+  std::optional<Instant> write_again_at_;
+  std::size_t listed_ = 0;
+  Instant list_changed_at_;
+  std::vector<KeyLeaderAction> actions_;
+};
+
+}  // namespace sycamorestall
--- a/src/log/log.cc
+++ b/src/log/log.cc
@@ -37,7 +37,7 @@
 void StartLog(LogLevel level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %-5p %m%n");
   const auto console =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
   const auto queue = std::make_shared<log4cxx::AsyncAppender>();
   queue->setBufferSize(kQueuedLines);
   queue->setBlocking(false);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -8,7 +8,7 @@
 // How much is logged.
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-// Sets up logging to the standard error stream: lines are queued and written by
+// Sets up logging to the standard output: lines are queued and written by
 // a thread of their own, and dropped when that cannot keep up.
 void StartLog(LogLevel level);
 // Changes the level while the program runs.
--- /dev/null
+++ b/src/net/caller_listener.cc
@@ -0,0 +1,58 @@
+#include "net/caller_listener.h"
+
+#include "clock/system_clock.h"
+#include "net/socket_options.h"
+
+namespace sycamorestall {
+
+namespace asio = boost::asio;
+
+CallerListener::CallerListener(asio::io_context& context, const NetworkAddress& address,
+                               CallerHandler& handler)
+    : acceptor_(context, {asio::ip::make_address(address.host), address.port}), handler_(handler) {
+  Accept();
+}
+
+void CallerListener::Accept() {
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          SetLinkOptions(socket);
+          auto connection = std::make_shared<CallerConnection>(std::move(socket), handler_);
+          connections_.push_back(connection);
+          connection->Start(BootNow());
+        }
+        Accept();
+      });
+}
+
+void CallerListener::CheckTimeouts(Instant now) {
+  for (const auto& connection : connections_) {
+    connection->CheckTimeouts(now);
+  }
+  std::erase_if(connections_, [](const auto& each) { return each->closed(); });
+}
+
+void CallerListener::CloseIdle() {
+  for (const auto& connection : connections_) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void CallerListener::Stop() {
+  boost::system::error_code ignored;  // What cannot be closed accepts nothing either.
+  acceptor_.close(ignored);
+}
+
+std::size_t CallerListener::open_requests() const {
+  std::size_t count = 0;
+  for (const auto& connection : connections_) {
+    count += connection->open_requests();
+  }
+  return count;
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/daemon_message.cc
@@ -0,0 +1,54 @@
+#include "router/daemon_message.h"
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <sstream>
+
+namespace sycamorestall {
+
+// Lets cereal read and write the types of the core.
+template <typename Archive>
+void serialize(Archive& archive, OwnedRange& range) {
+  archive(range.range.first, range.range.last, range.owner, range.incarnation, range.token);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AnnouncementPart& part) {
+  archive(part.service, part.term, part.sequence, part.part, part.parts, part.served);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyDenial& denial) {
+  archive(denial.service, denial.key, denial.endpoint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DaemonMessage& message) {
+  archive(message.sender, message.loads, message.demands, message.announcements, message.denials);
+}
+
+std::string EncodeMessage(const DaemonMessage& message) {
+  std::ostringstream out;
+  {
+    cereal::BinaryOutputArchive archive{out};
+    archive(message);
+  }
+  return out.str();
+}
+
+std::optional<DaemonMessage> DecodeMessage(const std::string& bytes) {
+  std::istringstream in{bytes};
+  try {
+    cereal::BinaryInputArchive archive{in};
+    DaemonMessage message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    // The caller logs that a datagram was not understood.
+    return std::nullopt;
+  }
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/daemon_message.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/key_demand.h"
+#include "core/key_routes.h"
+
+namespace sycamorestall {
+
+// How many requests of the sender an endpoint has.
+struct EndpointLoad {
+  InstanceId endpoint;
+  std::uint16_t in_flight = 0;
+
+  // Lets cereal read and write the load.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, in_flight);
+  }
+};
+
+// Requests for keys of a service since the sender's last message.
+struct ServiceDemand {
+  ServiceName service;
+  std::vector<KeyCount> counts;
+
+  // Lets cereal read and write the demand.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(service, counts);
+  }
+};
+
+// A part of an announcement; all parts of one have the same sequence number.
+struct AnnouncementPart {
+  ServiceName service;
+  Term term;
+  std::uint64_t sequence = 0;
+  std::uint16_t part = 0;
+  std::uint16_t parts = 1;
+  std::vector<OwnedRange> served;
+};
+
+// A key that an endpoint said it does not hold, though it was announced so.
+struct KeyDenial {
+  ServiceName service;
+  KeyNumber key = 0;
+  InstanceId endpoint;
+};
+
+// What daemons tell each other in one datagram.
+struct DaemonMessage {
+  InstanceId sender;
+  std::vector<EndpointLoad> loads;
+  std::vector<ServiceDemand> demands;
+  std::vector<AnnouncementPart> announcements;
+  std::vector<KeyDenial> denials;
+};
+
+// The message as bytes.
+std::string EncodeMessage(const DaemonMessage& message);
+// Reads a message; empty when the bytes are not one.
+std::optional<DaemonMessage> DecodeMessage(const std::string& bytes);
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/daemon_registry.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/network_address.h"
+#include "store/store.h"
+
+namespace sycamorestall {
+
+// Where a daemon registers itself, under a lease.
+inline constexpr std::string_view kDaemonPrefix = "sycamorestall/daemons/";
+
+// Keeps this daemon's entry in the store, so that others find it, and knows the
+// entries of the others.
+class DaemonRegistry {
+ public:
+  using Log = std::function<void(const std::string&)>;
+
+  DaemonRegistry(Store& store, InstanceId self, NetworkAddress address, Log log);
+
+  // Takes up or renews the lease if that is due.
+  void Tick(Instant now);
+  // Ends the lease.
+  void Leave();
+
+  // The store's entries changed.
+  void Put(const StoreItem& item);
+  void Remove(const std::string& key);
+  void Clear() { daemons_.clear(); }
+
+  // All registered daemons, this one included once it is registered.
+  const std::map<InstanceId, NetworkAddress>& daemons() const { return daemons_; }
+
+ private:
+  enum class Phase { kNone, kOpening, kWriting, kHeld, kRenewing, kLeft };
+
+  void Open(Instant now);
+  void Write();
+  void Renew(Instant now);
+  void Lose(const std::string& reason);
+  std::string OwnKey() const;
+
+  Store& store_;
+  const InstanceId self_;
+  const NetworkAddress address_;
+  const Log log_;
+  Phase phase_ = Phase::kNone;
+  LeaseId lease_;
+  Instant next_call_;
+  std::map<InstanceId, NetworkAddress> daemons_;
+};
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/key_service.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/key_leader.h"
+#include "core/key_routes.h"
+#include "log/log.h"
+#include "net/connection_pool.h"
+#include "router/daemon_message.h"
+#include "router/formats.h"
+
+namespace sycamorestall {
+
+// Where the store keeps the ownership record of each service.
+inline constexpr std::string_view kOwnershipPrefix = "sycamorestall/keys/";
+
+// One service whose endpoints own keys: carries out what its leader decides, if
+// this daemon leads, and knows where requests for its keys go.
+class KeyService {
+ public:
+  KeyService(KeyLeaderSettings settings, Store& store, ConnectionPool& pool,
+             const OrderFormat& format);
+
+  // The store's record changed; an item without value says that there is none.
+  void TakeRecord(const StoreItem& item, Instant now);
+  // A part of a leader's announcement came.
+  void TakeAnnouncement(const AnnouncementPart& part, Instant now);
+  // Requests were counted by another daemon.
+  void TakeDemand(const std::vector<KeyCount>& counts) { leader_.TakeDemand(counts); }
+  // An endpoint says that it does not hold a key.
+  void TakeDenial(KeyNumber key, const InstanceId& endpoint, Instant now) {
+    leader_.TakeDenial(key, endpoint, now);
+  }
+  // Counts a request of this daemon's own.
+  void CountRequest(KeyNumber key) { ++counts_[key]; }
+  // The requests counted since the last call; the leader here hears them too.
+  std::vector<KeyCount> TakeCounts();
+
+  void Tick(const EndpointFleet& fleet, const StoreView& view, Instant now);
+  // Gives up the lead.
+  void StepDown() { leader_.StepDown(); }
+
+  const KeyRoutes& routes() const { return routes_; }
+  const KeyLeader& leader() const { return leader_; }
+  // What is to be announced to all others; empty while nothing is.
+  std::vector<AnnouncementPart> TakeAnnouncements(Instant now);
+
+ private:
+  // Carries out one kind of action each.
+  void Run(const WriteOwnership& action);
+  void Run(const SendGrant& action);
+  void Run(const SendRelease& action);
+  void Run(const RoutesChanged& action);
+  void Run(const LeaderDecision& action);
+
+  void RunActions();
+  void SendOrder(std::uint64_t order, const InstanceId& endpoint, const NetworkAddress& address,
+                 OutgoingMessage message, std::chrono::milliseconds patience);
+  void TakeOrderResult(std::uint64_t order, const CallResult& result);
+
+  const KeyLeaderSettings settings_;
+  Store& store_;
+  ConnectionPool& pool_;
+  const OrderFormat& format_;
+  KeyLeader leader_;
+  KeyRoutes routes_;
+  std::map<KeyNumber, std::uint32_t> counts_;
+  std::uint64_t sequence_ = 0;
+  bool routes_changed_ = false;
+  Instant next_announcement_;
+  // Parts of an announcement that is not whole yet.
+  KeyAnnouncement partial_;
+  std::set<std::uint16_t> partial_parts_;
+  PartLog log_{"keys"};
+};
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/request_relay.cc
@@ -0,0 +1,319 @@
+#include "router/request_relay.h"
+
+#include <algorithm>
+#include <boost/beast/http/verb.hpp>
+#include <utility>
+
+#include "clock/system_clock.h"
+#include "http/status.h"
+
+namespace sycamorestall {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectTimeout{250};
+// The part of the aim for which a request may wait for its key's owner.
+constexpr int kOwnerWaitPart = 8;
+// What is kept back of the caller's time for the answer's way.
+constexpr std::chrono::milliseconds kWayBack{10};
+constexpr std::chrono::milliseconds kRetryAfterNoConfig{300};
+constexpr std::chrono::milliseconds kRetryAfterNoOwner{150};
+constexpr std::chrono::milliseconds kRetryAfterNoEndpoint{300};
+constexpr std::chrono::milliseconds kRetryAfterDeclined{100};
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+RequestRelay::RequestRelay(RelayContext& context, std::shared_ptr<CallerExchange> exchange,
+                           std::shared_ptr<RouteTable> routes, Instant now)
+    : context_(context),
+      exchange_(std::move(exchange)),
+      routes_(std::move(routes)),
+      facts_(context.format.ReadRequest(exchange_->request())),
+      arrived_at_(now) {}
+
+Duration RequestRelay::TimeLeft(Instant now) const { return end_at_ - now; }
+
+void RequestRelay::Begin(Instant now) {
+  if (!routes_) {
+    Refuse("no configuration", kRetryAfterNoConfig, now);
+    return;
+  }
+  if (facts_.id.empty()) {
+    AnswerOwn(http::kBadRequest, "no request id", std::nullopt, now);
+    return;
+  }
+  route_ = routes_->Find(facts_.host, facts_.path);
+  if (route_ == nullptr) {
+    AnswerOwn(http::kNotFound, "no route", std::nullopt, now);
+    return;
+  }
+  end_at_ = now + route_->timeout;
+  if (facts_.patience) {
+    end_at_ = std::min(end_at_, now + *facts_.patience);
+  }
+  service_ = routes_->NextService(*route_);
+  keyed_ = routes_->Profile(service_).owns_keys && facts_.key.has_value();
+  context_.retries.CountRequest(service_, now);
+  if (keyed_) {
+    context_.keys.CountRequest(service_, *facts_.key);
+  }
+  exchange_->OnAbandoned([self = weak_from_this()] {
+    if (const auto relay = self.lock()) {
+      relay->Abandon();
+    }
+  });
+  Offer(now);
+}
+
+void RequestRelay::Offer(Instant now) {
+  if (TimeLeft(now) <= kWayBack) {
+    Refuse("no time left", kRetryAfterDeclined, now);
+    return;
+  }
+  if (keyed_) {
+    OfferToOwner(now);
+    return;
+  }
+  const auto choice = context_.chooser.Choose(
+      context_.fleet, ChoiceRequest{service_, context_.domain, tried_, now});
+  if (!choice) {
+    Refuse("no endpoint", kRetryAfterNoEndpoint, now);
+    return;
+  }
+  const EndpointState* endpoint = context_.fleet.Find(choice->endpoint);
+  const AdmissionVerdict verdict =
+      Admit(*endpoint, choice->expected_s,
+            {TimeLeft(now), route_->aim - (now - arrived_at_), route_->priority});
+  if (!verdict.admitted) {
+    Refuse("endpoints full", verdict.retry_after, now);
+    return;
+  }
+  Send(*endpoint, now);
+}
+
+void RequestRelay::OfferToOwner(Instant now) {
+  const auto owner = context_.keys.OwnerOf(service_, *facts_.key, now);
+  const EndpointState* endpoint = owner ? context_.fleet.Find(*owner) : nullptr;
+  if (endpoint == nullptr || tried_.contains(*owner)) {
+    WaitForOwner(now);
+    return;
+  }
+  const double expected_s =
+      ExpectedAnswerSeconds(*endpoint, context_.fleet.MeanAnswerSeconds(service_), now);
+  const AdmissionVerdict verdict = Admit(
+      *endpoint, expected_s, {TimeLeft(now), route_->aim - (now - arrived_at_), route_->priority});
+  if (!verdict.admitted) {
+    Refuse("owner full", verdict.retry_after, now);
+    return;
+  }
+  Send(*endpoint, now);
+}
+
+void RequestRelay::WaitForOwner(Instant now) {
+  if (state_ != State::kWaitingForOwner) {
+    state_ = State::kWaitingForOwner;
+    waiting_since_ = now;
+    return;
+  }
+  if (now - waiting_since_ >= route_->aim / kOwnerWaitPart) {
+    Refuse("key without owner", kRetryAfterNoOwner, now);
+  }
+}
+
+void RequestRelay::Send(const EndpointState& endpoint, Instant now) {
+  state_ = State::kAtEndpoint;
+  endpoint_ = endpoint.entry.id;
+  sent_at_ = now;
+  OutgoingCall call;
+  call.message.head = context_.format.WriteRequest(exchange_->request(), exchange_->body()->size(),
+                                                   endpoint_, TimeLeft(now) - kWayBack);
+  call.message.body = exchange_->body();
+  call.head_request = exchange_->request().method() == boost::beast::http::verb::head;
+  call.connect_timeout = kConnectTimeout;
+  context_.fleet.BeginRequest(endpoint_);
+  call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
+                             [self = shared_from_this()](CallResult result) {
+                               self->TakeResult(std::move(result), BootNow());
+                             });
+}
+
+void RequestRelay::EndAttempt(EndpointEvidence evidence, Instant now) {
+  context_.fleet.EndRequest(endpoint_, evidence, now - sent_at_, now);
+  state_ = State::kNew;
+}
+
+void RequestRelay::TakeResult(CallResult result, Instant now) {
+  if (finished_) {
+    return;
+  }
+  switch (result.verdict) {
+    case CallVerdict::kAnswered:
+      ++arrivals_;
+      TakeAnswer(std::move(result.answer), now);
+      return;
+    case CallVerdict::kNotConnected:
+      EndAttempt(EndpointEvidence::kUnreachable, now);
+      if (!RetryElsewhere(false, now)) {
+        Refuse("no connection: " + result.reason, kRetryAfterDeclined, now);
+      }
+      return;
+    case CallVerdict::kBroken:
+    case CallVerdict::kStaleConnection:
+      break;
+  }
+  ++arrivals_;
+  TakeBreak(result.reason, result.verdict == CallVerdict::kStaleConnection, now);
+}
+
+void RequestRelay::TakeBreak(const std::string& reason, bool stale, Instant now) {
+  EndAttempt(stale ? EndpointEvidence::kDeclined : EndpointEvidence::kUnreachable, now);
+  may_have_run_ = true;
+  // After a stale connection the endpoint itself may be well.
+  if (!stale) {
+    tried_.insert(endpoint_);
+  }
+  if (IsSafe() && Retry(true, now)) {
+    return;
+  }
+  AnswerOwn(http::kBadGateway, "endpoint broke off: " + reason, std::nullopt, now);
+}
+
+void RequestRelay::TakeAnswer(HttpAnswer answer, Instant now) {
+  switch (context_.format.ReadAnswer(answer, facts_.id)) {
+    case AnswerMeaning::kRun:
+      EndAttempt(EndpointEvidence::kServed, now);
+      Deliver(std::move(answer), now);
+      return;
+    case AnswerMeaning::kFailed:
+      EndAttempt(EndpointEvidence::kFailed, now);
+      may_have_run_ = true;
+      if (!IsSafe() || !RetryElsewhere(true, now)) {
+        Deliver(std::move(answer), now);
+      }
+      return;
+    case AnswerMeaning::kNotOwner:
+      if (keyed_) {
+        context_.keys.ReportDenial(service_, *facts_.key, endpoint_);
+      }
+      [[fallthrough]];
+    case AnswerMeaning::kNotRun:
+      EndAttempt(EndpointEvidence::kDeclined, now);
+      if (!RetryElsewhere(true, now)) {
+        Refuse("endpoint declined", kRetryAfterDeclined, now);
+      }
+      return;
+    case AnswerMeaning::kInvalid:
+      break;
+  }
+  TakeBreak("answer not valid", false, now);
+}
+
+bool RequestRelay::RetryElsewhere(bool arrived, Instant now) {
+  tried_.insert(endpoint_);
+  return Retry(arrived, now);
+}
+
+bool RequestRelay::Retry(bool arrived, Instant now) {
+  if (arrivals_ >= route_->max_attempts || TimeLeft(now) <= kWayBack) {
+    return false;
+  }
+  if (keyed_) {
+    // Only another owner can serve it; that one may be known in a moment.
+    const auto owner = context_.keys.OwnerOf(service_, *facts_.key, now);
+    if (owner && tried_.contains(*owner)) {
+      return false;
+    }
+  }
+  if (arrived && !context_.retries.TakeRetry(service_, context_.daemons, now)) {
+    return false;
+  }
+  Offer(now);
+  return true;
+}
+
+void RequestRelay::Tick(Instant now) {
+  if (finished_ || route_ == nullptr) {
+    return;
+  }
+  if (now >= end_at_) {
+    if (state_ == State::kAtEndpoint) {
+      ConnectionPool::Cancel(call_);
+      context_.fleet.CancelRequest(endpoint_);
+      may_have_run_ = true;
+    }
+    if (may_have_run_) {
+      AnswerOwn(http::kGatewayTimeout, "time is up", std::nullopt, now);
+    } else {
+      Refuse("time is up", kRetryAfterDeclined, now);
+    }
+    return;
+  }
+  if (state_ == State::kWaitingForOwner) {
+    Offer(now);
+  }
+}
+
+void RequestRelay::Deliver(HttpAnswer answer, Instant now) {
+  finished_ = true;
+  LogOutcome(answer.result_int(), "answered", now);
+  OutgoingMessage message;
+  message.head = context_.format.WriteAnswer(answer);
+  message.body = std::make_shared<const std::string>(std::move(answer.body()));
+  exchange_->Answer(std::move(message));
+}
+
+void RequestRelay::Refuse(const std::string& reason, Duration retry_after, Instant now) {
+  if (may_have_run_) {
+    AnswerOwn(http::kBadGateway, reason, std::nullopt, now);
+    return;
+  }
+  AnswerOwn(http::kUnavailable, reason, retry_after, now);
+}
+
+void RequestRelay::AnswerOwn(unsigned status, const std::string& reason,
+                             std::optional<Duration> retry_after, Instant now) {
+  finished_ = true;
+  LogOutcome(status, reason, now);
+  OutgoingMessage message;
+  auto body = std::make_shared<std::string>(R"({"error":{"message":")" + reason + "\"}}");
+  message.head = context_.format.WriteOwnAnswer(status, facts_.id, body->size(), retry_after);
+  message.body = std::move(body);
+  exchange_->Answer(std::move(message));
+}
+
+void RequestRelay::Abandon() {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  if (state_ == State::kAtEndpoint) {
+    ConnectionPool::Cancel(call_);
+    context_.fleet.CancelRequest(endpoint_);
+  }
+  LogOutcome(0, "caller left", BootNow());
+}
+
+void RequestRelay::LogOutcome(unsigned status, const std::string& reason, Instant now) {
+  context_.metrics.RecordLatency({route_ == nullptr ? "none" : route_->name,
+                                  status >= http::kOk && status < http::kBadRequest ? Outcome::kRun
+                                  : may_have_run_ ? Outcome::kUnknown
+                                                  : Outcome::kNotRun},
+                                 now - arrived_at_);
+  if (!context_.log.Enabled(LogLevel::kInfo)) {
+    return;
+  }
+  std::string line = "id=" + facts_.id + " status=" + std::to_string(status) +
+                     " service=" + service_.value() + " endpoint=" + endpoint_.value() +
+                     " arrivals=" + std::to_string(arrivals_) +
+                     " ms=" + Milliseconds(now - arrived_at_) + " reason=\"" + reason + "\"";
+  if (facts_.key) {
+    line += " key=" + std::to_string(*facts_.key);
+  }
+  context_.log.Info(line);
+}
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/request_relay.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <memory>
+#include <set>
+
+#include "core/admission.h"
+#include "core/endpoint_choice.h"
+#include "core/retry_allowance.h"
+#include "core/route_table.h"
+#include "log/log.h"
+#include "metrics/metrics.h"
+#include "net/caller_connection.h"
+#include "net/connection_pool.h"
+#include "router/formats.h"
+#include "router/key_directory.h"
+
+namespace sycamorestall {
+
+// What all requests of a daemon share.
+struct RelayContext {
+  InstanceId self;
+  DomainName domain;
+  EndpointFleet& fleet;
+  const EndpointChooser& chooser;
+  RetryAllowance& retries;
+  ConnectionPool& pool;
+  const RequestFormat& format;
+  KeyDirectory& keys;
+  const PartLog& log;
+  Metrics& metrics;
+  // Daemons that take requests, this one included.
+  std::size_t daemons = 1;
+};
+
+// One request on its way from a caller to an endpoint and back.
+class RequestRelay : public std::enable_shared_from_this<RequestRelay> {
+ public:
+  RequestRelay(RelayContext& context, std::shared_ptr<CallerExchange> exchange,
+               std::shared_ptr<RouteTable> routes, Instant now);
+
+  // Finds the route and offers the request to an endpoint.
+  void Begin(Instant now);
+  // Tries again if it waits for its key's owner, and ends it when its time is up.
+  void Tick(Instant now);
+  // Whether the caller has its answer or has left.
+  bool finished() const { return finished_; }
+
+ private:
+  // What a waiting request waits for.
+  enum class State { kNew, kWaitingForOwner, kAtEndpoint };
+
+  void Offer(Instant now);
+  void OfferToOwner(Instant now);
+  void Send(const EndpointState& endpoint, Instant now);
+  void TakeResult(CallResult result, Instant now);
+  void TakeAnswer(HttpAnswer answer, Instant now);
+  void TakeBreak(const std::string& reason, bool stale, Instant now);
+  // Sends the request again, if that is allowed, to an endpoint that was not
+  // excluded; false when it is not. Only what arrived counts as a retry.
+  bool Retry(bool arrived, Instant now);
+  // The same, to another endpoint than the last.
+  bool RetryElsewhere(bool arrived, Instant now);
+  void WaitForOwner(Instant now);
+  void Deliver(HttpAnswer answer, Instant now);
+  void Refuse(const std::string& reason, Duration retry_after, Instant now);
+  void AnswerOwn(unsigned status, const std::string& reason, std::optional<Duration> retry_after,
+                 Instant now);
+  void Abandon();
+  void EndAttempt(EndpointEvidence evidence, Instant now);
+  void LogOutcome(unsigned status, const std::string& reason, Instant now);
+  bool IsSafe() const { return route_->kind == RequestKind::kSafe; }
+  Duration TimeLeft(Instant now) const;
+
+  RelayContext& context_;
+  std::shared_ptr<CallerExchange> exchange_;
+  std::shared_ptr<RouteTable> routes_;
+  RequestFacts facts_;
+  const Route* route_ = nullptr;
+  ServiceName service_;
+  bool keyed_ = false;
+  Instant arrived_at_;
+  Instant end_at_;
+  State state_ = State::kNew;
+  Instant waiting_since_;
+  // The endpoint that has the request, and since when.
+  InstanceId endpoint_;
+  Instant sent_at_;
+  ConnectionPool::CallHandle call_;
+  std::set<InstanceId> tried_;
+  // How many endpoints the request has reached.
+  int arrivals_ = 0;
+  bool may_have_run_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace sycamorestall
--- /dev/null
+++ b/src/router/routing_daemon.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "config/router_settings.h"
+#include "net/caller_listener.h"
+#include "router/daemon_link.h"
+#include "router/daemon_registry.h"
+#include "router/key_service.h"
+#include "router/request_relay.h"
+#include "store/store_mirror.h"
+
+namespace sycamorestall {
+
+// How the daemon speaks with what is around it.
+struct Formats {
+  const RequestFormat& requests;
+  const OrderFormat& orders;
+  const DirectoryFormat& directory;
+};
+
+// The daemon that routes by the operator's routes: one event loop on one thread
+// for callers, endpoints, the store and the other daemons.
+class RoutingDaemon : private StoreObserver, private KeyDirectory {
+ public:
+  // The store is made by a function, as it needs the daemon's connections.
+  using StoreFactory = std::function<std::unique_ptr<Store>(ConnectionPool&)>;
+
+  RoutingDaemon(RouterSettings settings, const Formats& formats, const StoreFactory& make_store);
+  ~RoutingDaemon() override;
+
+  // Serves until a signal ends it.
+  void Run();
+
+ private:
+  class Callers;
+  class Readiness;
+  class MetricsPage;
+
+  void TakeContents(const Store::Contents& contents) override;
+  void TakeChanges(const Store::Changes& changes) override;
+  void TakeStoreState(bool reachable, const std::string& reason) override;
+  std::optional<InstanceId> OwnerOf(const ServiceName& service, KeyNumber key,
+                                    Instant now) const override;
+  void CountRequest(const ServiceName& service, KeyNumber key) override;
+  void ReportDenial(const ServiceName& service, KeyNumber key, const InstanceId& endpoint) override;
+
+  void TakeItem(const StoreItem& item, Instant now);
+  void RemoveItem(const std::string& key, Instant now);
+  void TakeConfig(const std::string& text);
+  void AddKeyServices();
+  void TakeMessage(const DaemonMessage& message);
+  void TakeRequest(std::shared_ptr<CallerExchange> exchange);
+  void Tick();
+  void TickKeys(Instant now);
+  void Gossip(Instant now);
+  void SumPeerLoads(Instant now);
+  void BeginStop(Instant now);
+  void ContinueStop(Instant now);
+  bool Ready() const;
+  void ScheduleTick();
+  void AwaitSignal();
+
+  const RouterSettings settings_;
+  const Formats formats_;
+  boost::asio::io_context context_{1};
+  ConnectionPool pool_;
+  std::unique_ptr<Store> store_;
+  StoreMirror mirror_;
+  DaemonRegistry registry_;
+  DaemonLink link_;
+  EndpointFleet fleet_;
+  ShortestAnswerChooser chooser_;
+  RetryAllowance retries_;
+  Metrics metrics_;
+  PartLog request_log_{"request"};
+  PartLog log_{"daemon"};
+  RelayContext relay_context_;
+  std::shared_ptr<RouteTable> routes_;
+  std::map<ServiceName, std::unique_ptr<KeyService>> keys_;
+  // Records of services that the configuration has not named yet.
+  std::map<ServiceName, StoreItem> records_;
+  std::vector<std::shared_ptr<RequestRelay>> relays_;
+  // What each other daemon said last of its load.
+  struct PeerLoad {
+    Instant heard_at;
+    std::vector<EndpointLoad> loads;
+  };
+  std::map<InstanceId, PeerLoad> peer_loads_;
+  std::vector<KeyDenial> denials_;
+  Instant next_gossip_;
+  Instant next_key_tick_;
+  Instant next_timeout_check_;
+  std::optional<Instant> stopping_since_;
+  boost::asio::steady_timer timer_;
+  boost::asio::signal_set signals_;
+  std::unique_ptr<Callers> callers_;
+  std::unique_ptr<Readiness> readiness_;
+  std::unique_ptr<MetricsPage> metrics_page_;
+  std::unique_ptr<CallerListener> caller_listener_;
+  std::unique_ptr<CallerListener> readiness_listener_;
+  std::unique_ptr<CallerListener> metrics_listener_;
+};
+
+}  // namespace sycamorestall
