Count a range as assigned only when the write that names its owner is in the store

Cause: a row freed while a write was on its way was taken for written when the write ended, and its old owner got a grant with an old token, over and over. Also: grants go on for 12 s without the store, a leader that stops in an outage hands over to another daemon, and an address that another endpoint has taken proves that its earlier endpoint has ended. Ruled out: lost releases.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kLeaderlessPatience{300};
 // How long after a write that failed the next one follows.
 constexpr std::chrono::milliseconds kWriteRetry{200};
+constexpr std::uint32_t kMaxDoublings = 2;
 
 bool Adjacent(const OwnedRange& left, const OwnedRange& right) {
   return left.range.last + 1 == right.range.first && left.owner == right.owner &&
@@ -60,16 +61,21 @@
   if (deposed || phase_ == Phase::kClaiming) {
     Explain("follow leader=" + record.leader.value() +
             " term=" + std::to_string(record.term.value));
-    phase_ = Phase::kFollowing;
-    writing_.reset();
-    rows_.clear();
-    actions_.emplace_back(RoutesChanged{});
+    Follow();
   }
   if (phase_ == Phase::kFollowing) {
     leaderless_since_.reset();
   }
 }
 
+void KeyLeader::Follow() {
+  phase_ = Phase::kFollowing;
+  writing_.reset();
+  write_again_at_.reset();
+  rows_.clear();
+  actions_.emplace_back(RoutesChanged{});
+}
+
 void KeyLeader::BeginWrite(OwnershipRecord record) {
   record.change_id = settings_.self.value() + "." + std::to_string(record.term.value) + "." +
                      std::to_string(next_change_++);
@@ -85,11 +91,10 @@
   }
   switch (verdict) {
     case RecordVerdict::kUnknown:
-      write_in_doubt_ = true;
-      write_again_at_ = now + kWriteRetry;
-      return;
     case RecordVerdict::kNotWritten:
-      write_again_at_ = now + kWriteRetry;
+      write_in_doubt_ = write_in_doubt_ || verdict == RecordVerdict::kUnknown;
+      write_again_at_ = now + kWriteRetry * (1U << std::min(write_failures_, kMaxDoublings));
+      ++write_failures_;
       return;
     case RecordVerdict::kConflict:
       // Either this write was made before its answer was lost, or another daemon
@@ -117,10 +122,9 @@
   revision_ = revision;
   record_known_ = true;
   write_again_at_.reset();
+  write_failures_ = 0;
   if (record_.leader.empty()) {
-    phase_ = Phase::kFollowing;
-    rows_.clear();
-    actions_.emplace_back(RoutesChanged{});
+    Follow();
     return;
   }
   if (phase_ == Phase::kClaiming) {
@@ -147,19 +151,17 @@
     addresses_[each->entry.id] = each->entry.address;
   }
   demand_.Age(now);
+  if (phase_ == Phase::kStandingIn) {
+    StandIn(store, now);
+    return;
+  }
+  RepeatWrite(now);
   if (phase_ != Phase::kLeading) {
-    RepeatWrite(now);
     ConsiderClaim(fleet, store, now);
     return;
   }
-  RepeatWrite(now);
   if (stepping_down_) {
-    if (!writing_) {
-      OwnershipRecord record = CurrentRecord();
-      record.leader = {};
-      Explain("step down term=" + std::to_string(record.term.value));
-      BeginWrite(std::move(record));
-    }
+    StopLeading(store);
     return;
   }
   if (!MayOrder(store, now)) {
@@ -174,6 +176,54 @@
   MergeRows();
 }
 
+void KeyLeader::StopLeading(const StoreView& store) {
+  if (!store.reachable) {
+    Explain("hand over term=" + std::to_string(record_.term.value) + ": the store is away");
+    OwnershipRecord record = writing_ ? record_ : CurrentRecord();
+    Follow();
+    actions_.emplace_back(HandOver{std::move(record), store.confirmed_at});
+    return;
+  }
+  if (!writing_) {
+    OwnershipRecord record = CurrentRecord();
+    record.leader = {};
+    Explain("step down term=" + std::to_string(record.term.value));
+    BeginWrite(std::move(record));
+  }
+}
+
+void KeyLeader::TakeHandOver(const OwnershipRecord& record, Instant confirmed_at, Instant now) {
+  if (phase_ != Phase::kFollowing || record.term < record_.term || stepping_down_) {
+    return;
+  }
+  Explain("stand in term=" + std::to_string(record.term.value) +
+          " leader=" + record.leader.value());
+  phase_ = Phase::kStandingIn;
+  record_ = record;
+  stand_in_confirmed_at_ = confirmed_at;
+  TakeRows(record, Duration{}, now);
+}
+
+void KeyLeader::StandIn(const StoreView& store, Instant now) {
+  if (store.reachable || stepping_down_ || now - stand_in_confirmed_at_ >= settings_.authority) {
+    Explain("stand in no longer");
+    OwnershipRecord record = record_;
+    const bool hand_on = stepping_down_ && !store.reachable;
+    Follow();
+    // What the store holds is read anew.
+    record_known_ = false;
+    if (hand_on) {
+      actions_.emplace_back(HandOver{std::move(record), stand_in_confirmed_at_});
+    }
+    return;
+  }
+  for (Row& row : rows_) {
+    if (row.order == 0 && now >= row.next_order) {
+      SendGrantFor(row, now);
+    }
+  }
+}
+
 bool KeyLeader::ListIsSettled(const EndpointFleet& fleet, Instant now) {
   const std::size_t listed = fleet.OfService(settings_.service).size();
   if (listed != listed_) {
@@ -225,13 +275,9 @@
   BeginWrite(std::move(record));
 }
 
-void KeyLeader::Lead(Instant now) {
-  phase_ = Phase::kLeading;
+void KeyLeader::TakeRows(const OwnershipRecord& record, Duration earlier, Instant now) {
   rows_.clear();
-  // An earlier leader may have granted for as long as its authority lasted.
-  const Duration earlier =
-      earlier_leader_silent_ ? Duration{} : Duration{settings_.earlier_authority};
-  for (const OwnedRange& owned : record_.ranges) {
+  for (const OwnedRange& owned : record.ranges) {
     Row row;
     row.owned = owned;
     row.next_order = now;
@@ -239,13 +285,20 @@
     row.serving = true;
     rows_.push_back(std::move(row));
   }
-  for (const auto& [id, address] : record_.addresses) {
+  for (const auto& [id, address] : record.addresses) {
     addresses_.try_emplace(id, address);
   }
+  actions_.emplace_back(RoutesChanged{});
+}
+
+void KeyLeader::Lead(Instant now) {
+  phase_ = Phase::kLeading;
+  // An earlier leader may have granted for as long as its authority lasted.
+  TakeRows(record_, earlier_leader_silent_ ? Duration{} : Duration{settings_.earlier_authority},
+           now);
   next_placement_ = now + settings_.placement_interval;
   Explain("lead term=" + std::to_string(record_.term.value) +
           " ranges=" + std::to_string(rows_.size()));
-  actions_.emplace_back(RoutesChanged{});
 }
 
 std::vector<KeyTarget> KeyLeader::Targets(const EndpointFleet& fleet) const {
@@ -284,7 +337,7 @@
     if (row.phase == RowPhase::kOwned) {
       AdvanceOwned(row, fleet, store, now);
     } else if (row.phase == RowPhase::kExpiring) {
-      AdvanceExpiring(row, now);
+      AdvanceExpiring(row, fleet, now);
     }
   }
 }
@@ -324,8 +377,30 @@
   }
 }
 
-void KeyLeader::AdvanceExpiring(Row& row, Instant now) {
-  if (now >= row.held_until && now >= row.doubtful_until) {
+bool KeyLeader::IsReplaced(const Row& row, const EndpointFleet& fleet) const {
+  if (fleet.Find(row.owned.owner) != nullptr) {
+    return false;
+  }
+  const NetworkAddress address = AddressOf(row.owned.owner);
+  return std::any_of(fleet.all().begin(), fleet.all().end(),
+                     [&](const auto& each) { return each.second.entry.address == address; });
+}
+
+void KeyLeader::AdvanceExpiring(Row& row, const EndpointFleet& fleet, Instant now) {
+  const EndpointState* owner = fleet.Find(row.owned.owner);
+  const bool is_back = owner != nullptr && !owner->entry.draining &&
+                       owner->entry.incarnation == row.owned.incarnation && !row.target;
+  if (is_back) {
+    Explain("owner back range=" + ToString(row.owned.range) +
+            " endpoint=" + row.owned.owner.value());
+    row.phase = RowPhase::kOwned;
+    row.serving = true;
+    row.silences = 0;
+    row.next_order = now;
+    return;
+  }
+  const bool ran_out = now >= row.held_until && now >= row.doubtful_until;
+  if (ran_out || IsReplaced(row, fleet)) {
     Free(row);
   }
 }
@@ -387,7 +462,9 @@
   row->silences = 0;
   if (row->phase == RowPhase::kReleasing) {
     row->handover = reply.handover;
-    if (reply.verdict == OrderReply::Verdict::kDone && now >= row->doubtful_until) {
+    const bool given_back =
+        reply.verdict == OrderReply::Verdict::kDone && now >= row->doubtful_until;
+    if (given_back || reply.verdict == OrderReply::Verdict::kAnotherEndpoint) {
       Free(*row);
     } else {
       Explain("keys still held range=" + ToString(row->owned.range) +
@@ -414,6 +491,12 @@
     Free(*row);
     return;
   }
+  if (reply.verdict == OrderReply::Verdict::kAnotherEndpoint) {
+    Explain("owner replaced range=" + ToString(row->owned.range) +
+            " endpoint=" + row->owned.owner.value());
+    Free(*row);
+    return;
+  }
   row->next_order = now + settings_.order_retry;
   ++row->silences;
 }
@@ -496,7 +579,10 @@
     row.owned.owner = *row.target;
     row.owned.incarnation = fleet.Find(*row.target)->entry.incarnation;
     row.owned.token = {record_.highest.value + 1};
+    row.assigned = true;
     any = true;
+    Explain("assign range=" + ToString(row.owned.range) + " endpoint=" + row.target->value() +
+            " token=" + std::to_string(row.owned.token.value));
   }
   if (any) {
     OwnershipRecord record = CurrentRecord();
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -28,8 +28,8 @@
   std::chrono::milliseconds order_retry{300};
   // For how long after the store was last heard grants are still given, and how
   // long a next leader waits before it takes an earlier one to be silent.
-  std::chrono::milliseconds authority{5000};
-  std::chrono::milliseconds earlier_authority{6500};
+  std::chrono::milliseconds authority{12000};
+  std::chrono::milliseconds earlier_authority{13500};
   // An endpoint that the list lacks is taken as gone once the store has been
   // reachable for so long.
   std::chrono::milliseconds list_settle{2500};
@@ -70,6 +70,12 @@
   KeyRange range;
   FencingToken token;
 };
+// Asks another daemon to renew the grants of the record until the store is back,
+// as this daemon stops and cannot write that it does.
+struct HandOver {
+  OwnershipRecord record;
+  Instant confirmed_at;
+};
 // Says that requests of some keys go elsewhere from now on.
 struct RoutesChanged {};
 // Says in one sentence what was decided, for the log.
@@ -77,7 +83,7 @@
   std::string text;
 };
 using KeyLeaderAction =
-    std::variant<WriteOwnership, SendGrant, SendRelease, RoutesChanged, LeaderDecision>;
+    std::variant<WriteOwnership, SendGrant, SendRelease, HandOver, RoutesChanged, LeaderDecision>;
 
 // How a write of the record ended.
 enum class RecordVerdict { kWritten, kConflict, kUnknown, kNotWritten };
@@ -100,6 +106,9 @@
   void TakeSilence(std::uint64_t order, bool sent, Instant now);
   // An endpoint says that it does not hold a key that was granted to it.
   void TakeDenial(KeyNumber key, const InstanceId& endpoint, Instant now);
+  // The leader stops while the store is away and asks this daemon to renew its
+  // grants. The moment is when the leader last heard the store.
+  void TakeHandOver(const OwnershipRecord& record, Instant confirmed_at, Instant now);
   // Requests for keys, counted by this daemon or another.
   void TakeDemand(const std::vector<KeyCount>& counts);
   // Runs what time and the list bring about.
@@ -109,13 +118,15 @@
 
   std::vector<KeyLeaderAction> TakeActions();
 
-  bool leading() const { return phase_ == Phase::kLeading; }
+  // Whether this daemon grants keys, as leader or in its place.
+  bool leading() const { return phase_ == Phase::kLeading || phase_ == Phase::kStandingIn; }
   Term term() const { return record_.term; }
   // The keys that are served, with their owners. Others wait for one.
   std::vector<OwnedRange> ServedRanges() const;
 
  private:
-  enum class Phase { kFollowing, kClaiming, kLeading };
+  // Standing in: renewing the grants of a leader that stopped in an outage.
+  enum class Phase { kFollowing, kClaiming, kLeading, kStandingIn };
   enum class RowPhase {
     // The record names the owner; grants are sent to it.
     kOwned,
@@ -131,6 +142,8 @@
     RowPhase phase = RowPhase::kOwned;
     // The next owner, while the keys are on their way.
     std::optional<InstanceId> target;
+    // Whether the write on its way names the next owner.
+    bool assigned = false;
     std::string handover;
     // Whether the owner answered a grant to this leader.
     bool granted = false;
@@ -161,7 +174,14 @@
   void FirstAssignment(const EndpointFleet& fleet);
   void AdvanceRows(const EndpointFleet& fleet, const StoreView& store, Instant now);
   void AdvanceOwned(Row& row, const EndpointFleet& fleet, const StoreView& store, Instant now);
-  void AdvanceExpiring(Row& row, Instant now);
+  void AdvanceExpiring(Row& row, const EndpointFleet& fleet, Instant now);
+  // Whether an endpoint that the list lacks has surely ended: its address is
+  // another's now.
+  bool IsReplaced(const Row& row, const EndpointFleet& fleet) const;
+  void TakeRows(const OwnershipRecord& record, Duration earlier, Instant now);
+  void StopLeading(const StoreView& store);
+  void StandIn(const StoreView& store, Instant now);
+  void Follow();
   void SendGrantFor(Row& row, Instant now);
   void BeginRelease(Row& row, std::optional<InstanceId> target, const std::string& reason,
                     Instant now);
@@ -198,6 +218,9 @@
   std::map<InstanceId, NetworkAddress> addresses_;
   KeyDemand demand_;
   Instant next_placement_;
+  // When the store was last heard by the leader that this daemon stands in for.
+  Instant stand_in_confirmed_at_;
+  std::uint32_t write_failures_ = 0;
   // When the write is sent again whose result is not known.
   std::optional<Instant> write_again_at_;
   std::size_t listed_ = 0;
--- a/src/core/key_range.h
+++ b/src/core/key_range.h
@@ -55,7 +55,9 @@
     kDone,
     // It has seen a higher fencing token on one of the keys.
     kOutdated,
-    // It did not carry the order out, or another endpoint answered.
+    // Another endpoint has its address: the one that was asked has ended.
+    kAnotherEndpoint,
+    // It did not carry the order out.
     kRefused,
   };
   Verdict verdict = Verdict::kRefused;
--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -24,9 +24,15 @@
   archive(denial.service, denial.key, denial.endpoint);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LeadHandOver& hand_over) {
+  archive(hand_over.service, hand_over.record, hand_over.confirmed_ms_ago);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, DaemonMessage& message) {
-  archive(message.sender, message.loads, message.demands, message.announcements, message.denials);
+  archive(message.sender, message.loads, message.demands, message.announcements, message.denials,
+          message.hand_overs);
 }
 
 std::string EncodeMessage(const DaemonMessage& message) {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -51,6 +51,15 @@
   InstanceId endpoint;
 };
 
+// Asks a daemon to renew a stopping leader's grants while the store is away.
+struct LeadHandOver {
+  ServiceName service;
+  // The ownership record as the store would keep it.
+  std::string record;
+  // How long ago the leader heard the store.
+  std::uint32_t confirmed_ms_ago = 0;
+};
+
 // What daemons tell each other in one datagram.
 struct DaemonMessage {
   InstanceId sender;
@@ -58,6 +67,7 @@
   std::vector<ServiceDemand> demands;
   std::vector<AnnouncementPart> announcements;
   std::vector<KeyDenial> denials;
+  std::vector<LeadHandOver> hand_overs;
 };
 
 // The message as bytes.
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -120,6 +120,24 @@
             format_.WriteRelease(action.endpoint, action.range, action.token), kReleasePatience);
 }
 
+void KeyService::Run(const HandOver& action) {
+  const auto ago =
+      std::chrono::duration_cast<std::chrono::milliseconds>(BootNow() - action.confirmed_at);
+  hand_over_ = {settings_.service, EncodeRecord(action.record),
+                static_cast<std::uint32_t>(ago.count())};
+}
+
+void KeyService::TakeHandOver(const LeadHandOver& hand_over, Instant now) {
+  std::string problem;
+  const auto record = DecodeRecord(hand_over.record, problem);
+  if (!record) {
+    log_.Error("hand-over not understood reason=" + problem);
+    return;
+  }
+  leader_.TakeHandOver(*record, now - std::chrono::milliseconds{hand_over.confirmed_ms_ago}, now);
+  RunActions();
+}
+
 void KeyService::Run(const RoutesChanged& /*action*/) { routes_changed_ = true; }
 
 void KeyService::Run(const LeaderDecision& action) {
@@ -156,7 +174,9 @@
   }
   routes_changed_ = false;
   next_announcement_ = now + kAnnounceInterval;
-  KeyAnnouncement whole{leader_.term(), ++sequence_, leader_.ServedRanges()};
+  // One that stands in for a leader goes on from the leader's numbers.
+  sequence_ = std::max(sequence_, routes_.sequence()) + 1;
+  KeyAnnouncement whole{leader_.term(), sequence_, leader_.ServedRanges()};
   const std::size_t parts =
       std::max<std::size_t>((whole.served.size() + kRangesPerPart - 1) / kRangesPerPart, 1);
   std::vector<AnnouncementPart> announcement;
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -2,7 +2,9 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "core/key_leader.h"
 #include "core/key_routes.h"
@@ -33,6 +35,10 @@
   void TakeDenial(KeyNumber key, const InstanceId& endpoint, Instant now) {
     leader_.TakeDenial(key, endpoint, now);
   }
+  // A stopping leader asks this daemon to renew its grants.
+  void TakeHandOver(const LeadHandOver& hand_over, Instant now);
+  // What a daemon that goes on is to be asked; empty while nothing is.
+  std::optional<LeadHandOver> TakeOwnHandOver() { return std::exchange(hand_over_, {}); }
   // Counts a request of this daemon's own.
   void CountRequest(KeyNumber key) { ++counts_[key]; }
   // The requests counted since the last call; the leader here hears them too.
@@ -52,6 +58,7 @@
   void Run(const WriteOwnership& action);
   void Run(const SendGrant& action);
   void Run(const SendRelease& action);
+  void Run(const HandOver& action);
   void Run(const RoutesChanged& action);
   void Run(const LeaderDecision& action);
 
@@ -68,6 +75,7 @@
   KeyRoutes routes_;
   std::map<KeyNumber, std::uint32_t> counts_;
   std::uint64_t sequence_ = 0;
+  std::optional<LeadHandOver> hand_over_;
   bool routes_changed_ = false;
   Instant next_announcement_;
   // Parts of an announcement that is not whole yet.
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kRetryAfterNoOwner{150};
 constexpr std::chrono::milliseconds kRetryAfterNoEndpoint{300};
 constexpr std::chrono::milliseconds kRetryAfterDeclined{100};
+// An endpoint that is down is replaced as owner within seconds.
+constexpr std::chrono::milliseconds kRetryAfterUnreachable{800};
 
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -158,7 +160,8 @@
     case CallVerdict::kNotConnected:
       EndAttempt(EndpointEvidence::kUnreachable, now);
       if (!RetryElsewhere(false, now)) {
-        Refuse("no connection: " + result.reason, kRetryAfterDeclined, now);
+        Refuse("no connection: " + result.reason,
+               keyed_ ? kRetryAfterUnreachable : kRetryAfterDeclined, now);
       }
       return;
     case CallVerdict::kBroken:
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds kGossipInterval{100};
 constexpr std::size_t kFewDaemons = 6;
 constexpr std::chrono::milliseconds kPeerLoadLife{1000};
+// A datagram may be lost.
+constexpr int kHandOverCopies = 2;
 // After a stop begins, callers' new connections still come for so long.
 constexpr std::chrono::milliseconds kStopNotice{2300};
 constexpr std::chrono::milliseconds kStopMargin{500};
@@ -160,6 +162,7 @@
   if (now >= next_key_tick_) {
     next_key_tick_ = now + kKeyTick;
     TickKeys(now);
+    HandOverLeads(now);
   }
   Gossip(now);
   const auto relays = relays_;
@@ -226,6 +229,30 @@
   SumPeerLoads(now);
 }
 
+void RoutingDaemon::HandOverLeads(Instant now) {
+  for (const auto& [name, service] : keys_) {
+    const auto hand_over = service->TakeOwnHandOver();
+    if (!hand_over) {
+      continue;
+    }
+    const auto heir = std::max_element(peer_loads_.begin(), peer_loads_.end(),
+                                       [](const auto& left, const auto& right) {
+                                         return left.second.heard_at < right.second.heard_at;
+                                       });
+    if (heir == peer_loads_.end() || now - heir->second.heard_at > kPeerLoadLife) {
+      log_.Warning("no daemon to hand over to service=" + name.value());
+      continue;
+    }
+    log_.Info("hand over service=" + name.value() + " to=" + heir->first.value());
+    DaemonMessage message;
+    message.sender = settings_.instance;
+    message.hand_overs.push_back(*hand_over);
+    for (int i = 0; i < kHandOverCopies; ++i) {
+      link_.SendTo(heir->first, message);
+    }
+  }
+}
+
 void RoutingDaemon::SumPeerLoads(Instant now) {
   std::map<InstanceId, std::size_t> sums;
   for (const auto& [peer, load] : peer_loads_) {
@@ -260,6 +287,12 @@
       service->second->TakeAnnouncement(part, now);
     }
   }
+  for (const LeadHandOver& hand_over : message.hand_overs) {
+    const auto service = keys_.find(hand_over.service);
+    if (service != keys_.end()) {
+      service->second->TakeHandOver(hand_over, now);
+    }
+  }
   for (const KeyDenial& denial : message.denials) {
     const auto service = keys_.find(denial.service);
     if (service != keys_.end()) {
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -60,6 +60,7 @@
   void TickKeys(Instant now);
   void Gossip(Instant now);
   void SumPeerLoads(Instant now);
+  void HandOverLeads(Instant now);
   void BeginStop(Instant now);
   void ContinueStop(Instant now);
   bool Ready() const;
--- a/tests/core/key_world.cc
+++ b/tests/core/key_world.cc
@@ -99,7 +99,7 @@
     EndpointEntry entry;
     entry.id = each.id;
     entry.service = Service();
-    entry.address = {"10.0.0.1", 1};
+    entry.address = {each.id.value(), 1};
     entry.slots = 4;
     entry.draining = each.draining;
     entry.incarnation = each.incarnation;
