Hand a stopping leader's grants over to a daemon that goes on

Cause: in an outage of the store the lead went to a daemon that was itself about to stop, and all grants ran out.

--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -63,6 +63,8 @@
 // What daemons tell each other in one datagram.
 struct DaemonMessage {
   InstanceId sender;
+  // Whether the sender is about to end.
+  bool stopping = false;
   std::vector<EndpointLoad> loads;
   std::vector<ServiceDemand> demands;
   std::vector<AnnouncementPart> announcements;
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -211,6 +211,7 @@
       link_.SendToAll(announcement);
     }
   }
+  message.stopping = stopping_since_.has_value();
   message.denials = std::exchange(denials_, {});
   if (now < next_gossip_ && message.denials.empty()) {
     return;
@@ -229,26 +230,35 @@
   SumPeerLoads(now);
 }
 
+std::optional<InstanceId> RoutingDaemon::Heir(Instant now) const {
+  std::optional<InstanceId> heir;
+  Instant heard_at = now - kPeerLoadLife;
+  for (const auto& [id, peer] : peer_loads_) {
+    if (!peer.stopping && peer.heard_at > heard_at) {
+      heir = id;
+      heard_at = peer.heard_at;
+    }
+  }
+  return heir;
+}
+
 void RoutingDaemon::HandOverLeads(Instant now) {
   for (const auto& [name, service] : keys_) {
     const auto hand_over = service->TakeOwnHandOver();
     if (!hand_over) {
       continue;
     }
-    const auto heir = std::max_element(peer_loads_.begin(), peer_loads_.end(),
-                                       [](const auto& left, const auto& right) {
-                                         return left.second.heard_at < right.second.heard_at;
-                                       });
-    if (heir == peer_loads_.end() || now - heir->second.heard_at > kPeerLoadLife) {
+    const auto heir = Heir(now);
+    if (!heir) {
       log_.Warning("no daemon to hand over to service=" + name.value());
       continue;
     }
-    log_.Info("hand over service=" + name.value() + " to=" + heir->first.value());
+    log_.Info("hand over service=" + name.value() + " to=" + heir->value());
     DaemonMessage message;
     message.sender = settings_.instance;
     message.hand_overs.push_back(*hand_over);
     for (int i = 0; i < kHandOverCopies; ++i) {
-      link_.SendTo(heir->first, message);
+      link_.SendTo(*heir, message);
     }
   }
 }
@@ -273,7 +283,7 @@
   const Instant now = BootNow();
   const bool periodic = !message.loads.empty() || !message.demands.empty();
   if (periodic) {
-    peer_loads_[message.sender] = {now, message.loads};
+    peer_loads_[message.sender] = {now, message.stopping, message.loads};
   }
   for (const ServiceDemand& demand : message.demands) {
     const auto service = keys_.find(demand.service);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -61,6 +61,8 @@
   void Gossip(Instant now);
   void SumPeerLoads(Instant now);
   void HandOverLeads(Instant now);
+  // The daemon heard last among those that go on.
+  std::optional<InstanceId> Heir(Instant now) const;
   void BeginStop(Instant now);
   void ContinueStop(Instant now);
   bool Ready() const;
@@ -90,6 +92,7 @@
   // What each other daemon said last of its load.
   struct PeerLoad {
     Instant heard_at;
+    bool stopping = false;
     std::vector<EndpointLoad> loads;
   };
   std::map<InstanceId, PeerLoad> peer_loads_;
