--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -21,14 +21,13 @@
 
 AdmissionVerdict Admit(const EndpointState& endpoint, double expected_s,
                        const PlaceRequest& request) {
-  const auto slots = static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
-  const double rounds = (static_cast<double>(endpoint.load()) + 1) / slots;
+  const double rounds = endpoint.rounds();
   const double limit = std::max(1.0, kMaxRounds - kRoundsLessPerPriority * request.priority);
   const Duration expected = FromSeconds(expected_s);
   if (rounds <= limit && expected <= request.time_left) {
     return {};
   }
-  const Duration until_place = FromSeconds(expected_s * std::max(0.0, rounds - 1) / rounds);
+  const Duration until_place = FromSeconds(expected_s * (rounds - 1) / rounds);
   return {false, std::clamp<Duration>(until_place, kShortestReturn, kLongestReturn)};
 }
 
--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// What an answer takes while nothing is known of any endpoint of the service.
-constexpr double kUnknownAnswerSeconds = 0.1;
+// What a request takes while nothing is known of any endpoint of the service.
+constexpr double kUnknownServiceSeconds = 0.1;
 // How much longer an answer takes just after the start of an endpoint.
 constexpr double kColdFactor = 2.0;
 // How much a failed answer is held to cost against one that is served.
@@ -17,19 +17,16 @@
 
 }  // namespace
 
-double ExpectedAnswerSeconds(const EndpointState& endpoint, double mean_answer_s, Instant now) {
-  const double fallback = mean_answer_s > 0 ? mean_answer_s : kUnknownAnswerSeconds;
-  const double answer_s = endpoint.answer_s > 0 ? endpoint.answer_s : fallback;
-  const auto slots = static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
-  const double ahead = static_cast<double>(endpoint.load()) + 1;
-  const double rounds = std::max(1.0, ahead / slots);
-  const double cold = endpoint.answer_s == 0 && now < endpoint.warm_at ? kColdFactor : 1.0;
-  return answer_s * rounds * cold;
+double ExpectedAnswerSeconds(const EndpointState& endpoint, double mean_service_s, Instant now) {
+  const double fallback = mean_service_s > 0 ? mean_service_s : kUnknownServiceSeconds;
+  const double service_s = endpoint.service_s > 0 ? endpoint.service_s : fallback;
+  const double cold = endpoint.service_s == 0 && now < endpoint.warm_at ? kColdFactor : 1.0;
+  return service_s * endpoint.rounds() * cold;
 }
 
 std::optional<Choice> ShortestAnswerChooser::Choose(const EndpointFleet& fleet,
                                                     const ChoiceRequest& request) const {
-  const double mean_s = fleet.MeanAnswerSeconds(request.service);
+  const double mean_s = fleet.MeanServiceSeconds(request.service);
   const EndpointState* best = nullptr;
   bool best_avoided = false;
   double best_cost = 0;
--- a/src/core/endpoint_choice.h
+++ b/src/core/endpoint_choice.h
@@ -44,6 +44,6 @@
 };
 
 // The time that an answer of an endpoint is likely to take for one request more.
-double ExpectedAnswerSeconds(const EndpointState& endpoint, double mean_answer_s, Instant now);
+double ExpectedAnswerSeconds(const EndpointState& endpoint, double mean_service_s, Instant now);
 
 }  // namespace sycamorestall
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Weight of the newest answer in the means.
-constexpr double kAnswerWeight = 0.1;
+constexpr double kServiceWeight = 0.1;
 constexpr double kFailureWeight = 0.1;
 // How long an endpoint is passed over after it could not be reached, doubled
 // with each further time.
@@ -16,6 +16,11 @@
 
 }  // namespace
 
+double EndpointState::rounds() const {
+  const auto slots = static_cast<double>(std::max<std::size_t>(entry.slots, 1));
+  return std::max(1.0, (static_cast<double>(load()) + 1) / slots);
+}
+
 void EndpointFleet::Put(const EndpointEntry& entry, Instant now) {
   EndpointState& state = endpoints_[entry.id];
   const bool is_new = state.entry.id.empty() || state.entry.incarnation != entry.incarnation ||
@@ -57,12 +62,12 @@
   return found;
 }
 
-double EndpointFleet::MeanAnswerSeconds(const ServiceName& service) const {
+double EndpointFleet::MeanServiceSeconds(const ServiceName& service) const {
   double sum = 0;
   std::size_t count = 0;
   for (const auto& [id, state] : endpoints_) {
-    if (state.entry.service == service && state.answer_s > 0) {
-      sum += state.answer_s;
+    if (state.entry.service == service && state.service_s > 0) {
+      sum += state.service_s;
       ++count;
     }
   }
@@ -83,7 +88,7 @@
 }
 
 void EndpointFleet::EndRequest(const InstanceId& id, EndpointEvidence evidence, Duration elapsed,
-                               Instant now) {
+                               double rounds, Instant now) {
   CancelRequest(id);
   EndpointState* state = FindMutable(id);
   if (state == nullptr) {
@@ -100,10 +105,10 @@
   }
   state->unreachable_in_a_row = 0;
   if (evidence == EndpointEvidence::kServed) {
-    const double seconds = std::chrono::duration<double>(elapsed).count();
-    state->answer_s = state->answer_s == 0
-                          ? seconds
-                          : state->answer_s + kAnswerWeight * (seconds - state->answer_s);
+    const double seconds = std::chrono::duration<double>(elapsed).count() / rounds;
+    state->service_s = state->service_s == 0
+                           ? seconds
+                           : state->service_s + kServiceWeight * (seconds - state->service_s);
   }
 }
 
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -32,8 +32,8 @@
   std::size_t in_flight = 0;
   // The same of all other daemons, by what each of them said last.
   std::size_t peers_in_flight = 0;
-  // Mean time of an answer in seconds, queueing included; 0 while unknown.
-  double answer_s = 0;
+  // Mean time that it works on a request, in seconds; 0 while unknown.
+  double service_s = 0;
   // Share of requests that failed lately, 0 to 1.
   double failure_share = 0;
   std::uint32_t unreachable_in_a_row = 0;
@@ -42,6 +42,8 @@
 
   // Requests of all daemons that it has.
   std::size_t load() const { return in_flight + peers_in_flight; }
+  // How many times its slots one request more would fill, at least 1.
+  double rounds() const;
 };
 
 // All listed endpoints, and what requests have shown of each.
@@ -58,13 +60,16 @@
   // All endpoints of a service.
   std::vector<const EndpointState*> OfService(const ServiceName& service) const;
   const std::map<InstanceId, EndpointState>& all() const { return endpoints_; }
-  // Mean time of an answer of a service's endpoints in seconds; 0 while unknown.
-  double MeanAnswerSeconds(const ServiceName& service) const;
+  // Mean time that a service's endpoints work on a request, in seconds; 0 while
+  // unknown.
+  double MeanServiceSeconds(const ServiceName& service) const;
 
   // Counts a request on its way to an endpoint.
   void BeginRequest(const InstanceId& id);
-  // Counts its end. The elapsed time is learnt from only if it was served.
-  void EndRequest(const InstanceId& id, EndpointEvidence evidence, Duration elapsed, Instant now);
+  // Counts its end. If it was served, the time that it took is learnt from; what
+  // it waited is taken out by the rounds at the moment when it was sent.
+  void EndRequest(const InstanceId& id, EndpointEvidence evidence, Duration elapsed, double rounds,
+                  Instant now);
   // Counts the end of a request that says nothing of the endpoint.
   void CancelRequest(const InstanceId& id);
   // Sets how many requests the other daemons have at an endpoint.
--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -240,9 +240,13 @@
     return;
   }
   const bool first = revision_.value == 0;
-  const bool led = !record_.leader.empty() && record_.leader != settings_.self &&
-                   (store.daemons.contains(record_.leader) ||
-                    now - store.reachable_since < settings_.return_settle);
+  // A leader that is not heard is given up before its lease ends, but not by a
+  // daemon that hears few others: it may be cut off itself.
+  const bool hears_most = 2 * (store.heard.size() + 1) > store.daemons.size();
+  const bool silent = hears_most && store.heard.size() > 0 && !store.heard.contains(record_.leader);
+  const bool leased = store.daemons.contains(record_.leader) ||
+                      now - store.reachable_since < settings_.return_settle;
+  const bool led = !record_.leader.empty() && record_.leader != settings_.self && leased && !silent;
   if (led || (first && !settled)) {
     leaderless_since_.reset();
     return;
@@ -302,7 +306,7 @@
 }
 
 std::vector<KeyTarget> KeyLeader::Targets(const EndpointFleet& fleet) const {
-  const double mean_s = fleet.MeanAnswerSeconds(settings_.service);
+  const double mean_s = fleet.MeanServiceSeconds(settings_.service);
   constexpr double kMinSpeed = 0.4;
   constexpr double kMaxSpeed = 2.5;
   std::vector<KeyTarget> targets;
@@ -310,8 +314,9 @@
     if (each->entry.draining) {
       continue;
     }
-    const double speed = each->answer_s > 0 && mean_s > 0
-                             ? std::clamp(mean_s / each->answer_s, kMinSpeed, kMaxSpeed)
+    // Up to an unknown factor: how many requests a second it can do.
+    const double speed = each->service_s > 0 && mean_s > 0
+                             ? std::clamp(mean_s / each->service_s, kMinSpeed, kMaxSpeed)
                              : 1.0;
     targets.push_back({each->entry.id, static_cast<double>(each->entry.slots) * speed, false});
   }
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -48,6 +48,8 @@
   Instant reachable_since;
   // Daemons that hold a lease, this one included.
   std::set<InstanceId> daemons;
+  // Other daemons whose messages came lately.
+  std::set<InstanceId> heard;
 };
 
 // Asks for the record to be written if it still has the expected revision.
--- a/src/core/key_placement.cc
+++ b/src/core/key_placement.cc
@@ -18,6 +18,11 @@
 // A piece may bring its target to this multiple of the mean.
 constexpr double kMaxTargetLoad = 1.05;
 
+// A key that alone loads its owner to this multiple of the mean is a hot one, and
+// moves to an endpoint whose capacity is larger by this factor.
+constexpr double kHotKeyLoad = 2.0;
+constexpr double kWorthMovingHotKey = 1.25;
+
 // An endpoint while a plan is made.
 struct Bin {
   const KeyTarget* target = nullptr;
@@ -56,6 +61,7 @@
     if (bins_.size() < 2 || rate_ < kIdleRate) {
       return {};
     }
+    MoveHottestKey();
     // Each round moves one piece; a round without a move retires its endpoint.
     std::vector<InstanceId> finished;
     while (moves_.size() < kMaxMoves) {
@@ -92,6 +98,33 @@
         ->second;
   }
 
+  // A key that is more than its owner can do goes to the most capable endpoint,
+  // if that one can do much more.
+  void MoveHottestKey() {
+    const auto hottest = std::max_element(
+        demand_.rates().begin(), demand_.rates().end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    const auto home = std::find_if(ranges_.begin(), ranges_.end(), [&](const OwnedRange& each) {
+      return each.range.Contains(hottest->first);
+    });
+    if (home == ranges_.end() || !bins_.contains(home->owner)) {
+      return;
+    }
+    Bin& from = bins_.at(home->owner);
+    const auto best =
+        std::max_element(bins_.begin(), bins_.end(), [](const auto& left, const auto& right) {
+          return left.second.target->capacity < right.second.target->capacity;
+        });
+    const double alone = hottest->second / from.target->capacity;
+    if (alone < kHotKeyLoad * MeanLoad() ||
+        best->second.target->capacity < kWorthMovingHotKey * from.target->capacity) {
+      return;
+    }
+    from.rate -= hottest->second;
+    best->second.rate += hottest->second;
+    moves_.push_back({{hottest->first, hottest->first}, best->first});
+  }
+
   bool MoveOnePiece(Bin& from) {
     Bin& to = Idlest();
     const double room = kMaxTargetLoad * MeanLoad() * to.target->capacity - to.rate;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -105,7 +105,7 @@
     return;
   }
   const double expected_s =
-      ExpectedAnswerSeconds(*endpoint, context_.fleet.MeanAnswerSeconds(service_), now);
+      ExpectedAnswerSeconds(*endpoint, context_.fleet.MeanServiceSeconds(service_), now);
   const AdmissionVerdict verdict = Admit(
       *endpoint, expected_s, {TimeLeft(now), route_->aim - (now - arrived_at_), route_->priority});
   if (!verdict.admitted) {
@@ -130,6 +130,7 @@
   state_ = State::kAtEndpoint;
   endpoint_ = endpoint.entry.id;
   sent_at_ = now;
+  sent_rounds_ = endpoint.rounds();
   OutgoingCall call;
   call.message.head = context_.format.WriteRequest(exchange_->request(), exchange_->body()->size(),
                                                    endpoint_, TimeLeft(now) - kWayBack);
@@ -144,7 +145,7 @@
 }
 
 void RequestRelay::EndAttempt(EndpointEvidence evidence, Instant now) {
-  context_.fleet.EndRequest(endpoint_, evidence, now - sent_at_, now);
+  context_.fleet.EndRequest(endpoint_, evidence, now - sent_at_, sent_rounds_, now);
   state_ = State::kNew;
 }
 
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -85,6 +85,8 @@
   // The endpoint that has the request, and since when.
   InstanceId endpoint_;
   Instant sent_at_;
+  // How full the endpoint was then.
+  double sent_rounds_ = 1;
   ConnectionPool::CallHandle call_;
   std::set<InstanceId> tried_;
   // How many endpoints the request has reached.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -190,6 +190,11 @@
   for (const auto& [id, address] : registry_.daemons()) {
     view.daemons.insert(id);
   }
+  for (const auto& [id, peer] : peer_loads_) {
+    if (now - peer.heard_at < kPeerLoadLife && view.daemons.contains(id)) {
+      view.heard.insert(id);
+    }
+  }
   for (const auto& [name, service] : keys_) {
     service->Tick(fleet_, view, now);
   }
