--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -305,13 +305,25 @@
           " ranges=" + std::to_string(rows_.size()));
 }
 
+std::set<InstanceId> KeyLeader::SilentOwners() const {
+  std::set<InstanceId> silent;
+  for (const Row& row : rows_) {
+    if (row.silences > 0) {
+      silent.insert(row.owned.owner);
+    }
+  }
+  return silent;
+}
+
 std::vector<KeyTarget> KeyLeader::Targets(const EndpointFleet& fleet) const {
+  const std::set<InstanceId> silent = SilentOwners();
   const double mean_s = fleet.MeanServiceSeconds(settings_.service);
   constexpr double kMinSpeed = 0.4;
   constexpr double kMaxSpeed = 2.5;
   std::vector<KeyTarget> targets;
   for (const EndpointState* each : fleet.OfService(settings_.service)) {
-    if (each->entry.draining) {
+    // One that has just ended is listed for some seconds yet.
+    if (each->entry.draining || each->unreachable_in_a_row > 0 || silent.contains(each->entry.id)) {
       continue;
     }
     // Up to an unknown factor: how many requests a second it can do.
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -28,8 +28,8 @@
   std::chrono::milliseconds order_retry{300};
   // For how long after the store was last heard grants are still given, and how
   // long a next leader waits before it takes an earlier one to be silent.
-  std::chrono::milliseconds authority{12000};
-  std::chrono::milliseconds earlier_authority{13500};
+  std::chrono::milliseconds authority{8000};
+  std::chrono::milliseconds earlier_authority{9300};
   // An endpoint that the list lacks is taken as gone once the store has been
   // reachable for so long.
   std::chrono::milliseconds list_settle{2500};
@@ -194,7 +194,10 @@
   void MergeRows();
   void BeginWrite(OwnershipRecord record);
   OwnershipRecord CurrentRecord() const;
+  // The endpoints that keys may be given to.
   std::vector<KeyTarget> Targets(const EndpointFleet& fleet) const;
+  // Owners that left an order unanswered and have answered none since.
+  std::set<InstanceId> SilentOwners() const;
   std::optional<InstanceId> LeastLoaded(const std::vector<KeyTarget>& targets,
                                         const std::map<InstanceId, double>& rates) const;
   Row* RowOfOrder(std::uint64_t order);
