Raise every token with a new leader, and never release behind a grant on its way

A restarted owner may hold what was granted before its restart was known: its keys stay with it or are released.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -273,6 +273,12 @@
   earlier_leader_silent_ = record.leader.empty();
   record.term.value += 1;
   record.leader = settings_.self;
+  // With a higher token for every key, grants of an earlier leader that are still
+  // on their way are refused once this one's have arrived.
+  record.highest.value += 1;
+  for (OwnedRange& owned : record.ranges) {
+    owned.token = record.highest;
+  }
   Explain("claim term=" + std::to_string(record.term.value) + " earlier=" + record_.leader.value());
   BeginWrite(std::move(record));
 }
@@ -357,17 +363,28 @@
   }
 }
 
+void KeyLeader::TakeRestart(Row& row, const EndpointEntry& owner) {
+  Explain("owner restarted range=" + ToString(row.owned.range) +
+          " endpoint=" + row.owned.owner.value());
+  // Grants that were sent before the restart was known were taken by the new
+  // start: the keys stay where they are, with a higher token, or are released.
+  row.owned.incarnation = owner.incarnation;
+  row.handover.clear();
+  row.target = row.owned.owner;
+  Free(row);
+  row.pinned = true;
+}
+
 void KeyLeader::AdvanceOwned(Row& row, const EndpointFleet& fleet, const StoreView& store,
                              Instant now) {
   const EndpointState* owner = fleet.Find(row.owned.owner);
   const bool list_holds = store.reachable && now - store.reachable_since >= settings_.list_settle;
+  if (row.order != 0) {
+    // A grant on its way would arrive behind what is decided here.
+    return;
+  }
   if (owner != nullptr && owner->entry.incarnation != row.owned.incarnation) {
-    // Another start of the owner holds nothing.
-    Explain("owner restarted range=" + ToString(row.owned.range) +
-            " endpoint=" + row.owned.owner.value());
-    row.target = owner->entry.draining ? std::nullopt : std::optional{row.owned.owner};
-    row.handover.clear();
-    Free(row);
+    TakeRestart(row, owner->entry);
     return;
   }
   if (owner != nullptr && owner->entry.draining) {
@@ -387,7 +404,7 @@
     Free(row);
     return;
   }
-  if (row.order == 0 && now >= row.next_order) {
+  if (now >= row.next_order) {
     SendGrantFor(row, now);
   }
 }
@@ -437,10 +454,7 @@
 
 void KeyLeader::BeginRelease(Row& row, std::optional<InstanceId> target, const std::string& reason,
                              Instant now) {
-  if (row.order != 0) {
-    // A grant on its way is not known to be refused: its time has to pass.
-    row.doubtful_until = std::max(row.doubtful_until, row.order_sent + HoldTime());
-  }
+  RequireInvariant(row.order == 0, "keys are released with no grant on its way");
   row.phase = RowPhase::kReleasing;
   row.serving = false;
   row.target = std::move(target);
@@ -579,8 +593,9 @@
       continue;
     }
     const bool usable =
-        row.target && std::any_of(targets.begin(), targets.end(),
-                                  [&](const KeyTarget& each) { return each.id == *row.target; });
+        row.pinned ||
+        (row.target && std::any_of(targets.begin(), targets.end(),
+                                   [&](const KeyTarget& each) { return each.id == *row.target; }));
     if (!usable) {
       row.target = LeastLoaded(targets, rates);
     }
@@ -592,9 +607,12 @@
     constexpr double kRatePerKey = 0.001;
     rates[*row.target] += demand_.Rate(row.owned.range) + row.owned.range.size() * kRatePerKey;
     row.owned.owner = *row.target;
-    row.owned.incarnation = fleet.Find(*row.target)->entry.incarnation;
+    if (const EndpointState* target = fleet.Find(*row.target)) {
+      row.owned.incarnation = target->entry.incarnation;
+    }
     row.owned.token = {record_.highest.value + 1};
     row.assigned = true;
+    row.pinned = false;
     any = true;
     Explain("assign range=" + ToString(row.owned.range) + " endpoint=" + row.target->value() +
             " token=" + std::to_string(row.owned.token.value));
@@ -636,7 +654,7 @@
   std::vector<OwnedRange> movable;
   for (const Row& row : rows_) {
     const bool settled = row.phase == RowPhase::kOwned && row.granted && row.silences == 0 &&
-                         now >= row.doubtful_until;
+                         row.order == 0 && now >= row.doubtful_until;
     if (settled) {
       movable.push_back(row.owned);
     }
@@ -665,11 +683,6 @@
     pieces.push_back(whole);
     pieces.back().owned.range.first = move.range.last + 1;
   }
-  for (Row& piece : pieces) {
-    // A renewal on its way was for the whole; its answer would find no row.
-    piece.order = 0;
-    piece.next_order = std::min(piece.next_order, now + settings_.order_retry);
-  }
   BeginRelease(moving, move.target, "load", now);
   *found = std::move(moving);
   rows_.insert(rows_.end(), pieces.begin(), pieces.end());
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -144,6 +144,8 @@
     RowPhase phase = RowPhase::kOwned;
     // The next owner, while the keys are on their way.
     std::optional<InstanceId> target;
+    // Whether only the present owner may be the next one.
+    bool pinned = false;
     // Whether the write on its way names the next owner.
     bool assigned = false;
     std::string handover;
@@ -176,6 +178,7 @@
   void FirstAssignment(const EndpointFleet& fleet);
   void AdvanceRows(const EndpointFleet& fleet, const StoreView& store, Instant now);
   void AdvanceOwned(Row& row, const EndpointFleet& fleet, const StoreView& store, Instant now);
+  void TakeRestart(Row& row, const EndpointEntry& owner);
   void AdvanceExpiring(Row& row, const EndpointFleet& fleet, Instant now);
   // Whether an endpoint that the list lacks has surely ended: its address is
   // another's now.
