--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -11,10 +11,10 @@
 struct PlaceRequest {
   // How long its caller and its route still allow.
   Duration time_left{};
-  // What is left of the time in which an answer is worth the most.
-  Duration aim_left{};
   // 0 is the most urgent.
   int priority = 0;
+  // Daemons that send requests to the endpoint, this one included.
+  std::size_t daemons = 1;
 };
 
 // Whether a request may go to an endpoint now, and if not, when a place is likely.
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -14,7 +14,7 @@
 namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 // Requests of one connection that are read before the first is answered.
 constexpr std::size_t kMaxOpenRequests = 64;
 constexpr std::chrono::milliseconds kLingerTime{1000};
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -16,7 +16,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 constexpr std::uint64_t kMaxAnswerBytes = 64ULL * 1024 * 1024;
 
 std::optional<Duration> IdleTimeoutOf(const HttpAnswer& answer) {
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -87,9 +87,7 @@
     return;
   }
   const EndpointState* endpoint = context_.fleet.Find(choice->endpoint);
-  const AdmissionVerdict verdict =
-      Admit(*endpoint, choice->expected_s,
-            {TimeLeft(now), route_->aim - (now - arrived_at_), route_->priority});
+  const AdmissionVerdict verdict = Admit(*endpoint, choice->expected_s, Place(now));
   if (!verdict.admitted) {
     Refuse("endpoints full", verdict.retry_after, now);
     return;
@@ -97,6 +95,10 @@
   Send(*endpoint, now);
 }
 
+PlaceRequest RequestRelay::Place(Instant now) const {
+  return {TimeLeft(now), route_->priority, context_.daemons};
+}
+
 void RequestRelay::OfferToOwner(Instant now) {
   const auto owner = context_.keys.OwnerOf(service_, *facts_.key, now);
   const EndpointState* endpoint = owner ? context_.fleet.Find(*owner) : nullptr;
@@ -110,8 +112,7 @@
   }
   const double expected_s =
       ExpectedAnswerSeconds(*endpoint, context_.fleet.MeanServiceSeconds(service_), now);
-  const AdmissionVerdict verdict = Admit(
-      *endpoint, expected_s, {TimeLeft(now), route_->aim - (now - arrived_at_), route_->priority});
+  const AdmissionVerdict verdict = Admit(*endpoint, expected_s, Place(now));
   if (!verdict.admitted) {
     Refuse("owner full", verdict.retry_after, now);
     return;
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -72,6 +72,7 @@
   void LogOutcome(unsigned status, const std::string& reason, Instant now);
   bool IsSafe() const { return route_->kind == RequestKind::kSafe; }
   Duration TimeLeft(Instant now) const;
+  PlaceRequest Place(Instant now) const;
 
   RelayContext& context_;
   std::shared_ptr<CallerExchange> exchange_;
--- /dev/null
+++ b/tests/core/key_placement_test.cc
@@ -0,0 +1,212 @@
+#include "core/key_placement.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+
+#include "core/key_routes.h"
+
+using namespace sycamorestall;  // NOLINT
+
+namespace {
+
+std::vector<KeyTarget> Endpoints(const std::vector<double>& capacities) {
+  std::vector<KeyTarget> targets;
+  for (std::size_t i = 0; i < capacities.size(); ++i) {
+    targets.push_back({InstanceId{"e" + std::to_string(i)}, capacities[i], false});
+  }
+  return targets;
+}
+
+std::vector<OwnedRange> Owned(const std::vector<KeyMove>& moves) {
+  std::vector<OwnedRange> owned;
+  for (const KeyMove& move : moves) {
+    owned.push_back({move.range, move.target, {}, {1}});
+  }
+  return owned;
+}
+
+// Carries a plan out.
+void Apply(std::vector<OwnedRange>& owned, const KeyMove& move) {
+  std::vector<OwnedRange> next;
+  for (const OwnedRange& each : owned) {
+    if (!each.range.Overlaps(move.range)) {
+      next.push_back(each);
+      continue;
+    }
+    CHECK(each.range.first <= move.range.first);
+    CHECK(move.range.last <= each.range.last);
+    if (each.range.first < move.range.first) {
+      next.push_back({{each.range.first, move.range.first - 1}, each.owner, {}, {1}});
+    }
+    if (each.range.last > move.range.last) {
+      next.push_back({{move.range.last + 1, each.range.last}, each.owner, {}, {1}});
+    }
+  }
+  next.push_back({move.range, move.target, {}, {1}});
+  owned = std::move(next);
+}
+
+double Imbalance(const std::vector<OwnedRange>& owned, const KeyDemand& demand,
+                 const std::vector<KeyTarget>& targets) {
+  std::map<InstanceId, double> rates;
+  double capacity = 0;
+  double total = 0;
+  for (const OwnedRange& each : owned) {
+    rates[each.owner] += demand.Rate(each.range);
+    total += demand.Rate(each.range);
+  }
+  double busiest = 0;
+  for (const KeyTarget& target : targets) {
+    capacity += target.capacity;
+    busiest = std::max(busiest, rates[target.id] / target.capacity);
+  }
+  return busiest / (total / capacity);
+}
+
+// Many requests for some adjacent keys, fewer for all others.
+KeyDemand Skewed(KeyNumber hot_first, KeyNumber hot_keys, double hot_share) {
+  std::mt19937 random{1};
+  KeyDemand demand;
+  demand.Age(Instant{});
+  std::vector<KeyCount> counts;
+  for (int i = 0; i < 2000; ++i) {
+    const bool hot = std::uniform_real_distribution<double>{0, 1}(random) < hot_share;
+    const auto key = hot ? hot_first + static_cast<KeyNumber>(random() % hot_keys)
+                         : static_cast<KeyNumber>(random() % kKeyCount);
+    counts.push_back({key, 1});
+  }
+  demand.Add(counts);
+  return demand;
+}
+
+}  // namespace
+
+TEST_CASE("busy keys spread over endpoints by what each can do, and few keys move") {
+  struct Row {
+    std::string name;
+    std::vector<double> capacities;
+    KeyNumber hot_keys;
+    double hot_share;
+  };
+  const Row rows[] = {{"even demand", {6, 6, 6, 6}, 1, 0},
+                      {"half of it on 100 keys", {6, 6, 6, 6, 6, 6}, 100, 0.5},
+                      {"endpoints that differ", {3, 6, 6, 9, 3, 6}, 200, 0.8},
+                      {"most of it on 20 keys", {6, 6, 6, 6}, 20, 0.9}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const KeyDemand demand = Skewed(30'000, row.hot_keys, row.hot_share);
+    const std::vector<KeyTarget> targets = Endpoints(row.capacities);
+    std::vector<OwnedRange> owned = Owned(EvenRanges(targets));
+    const double before = Imbalance(owned, demand, targets);
+    KeyNumber moved = 0;
+    for (int round = 0; round < 6; ++round) {
+      for (const KeyMove& move : DensePiecePlacement{}.Plan(owned, demand, targets)) {
+        Apply(owned, move);
+        moved += move.range.size();
+      }
+    }
+    const double after = Imbalance(owned, demand, targets);
+    CHECK(after < 1.5);
+    CHECK(after <= before);
+    CHECK(moved < kKeyCount / 4);
+  }
+}
+
+TEST_CASE("a key hotter than any endpoint goes to the strongest, and the rest moves off") {
+  KeyDemand demand = Skewed(30'000, 1, 0.6);
+  const std::vector<KeyTarget> targets = Endpoints({3, 6, 6, 9, 6});
+  std::vector<OwnedRange> owned = Owned(EvenRanges(targets));
+  for (int round = 0; round < 8; ++round) {
+    for (const KeyMove& move : DensePiecePlacement{}.Plan(owned, demand, targets)) {
+      Apply(owned, move);
+    }
+  }
+  const auto home = std::find_if(owned.begin(), owned.end(), [](const OwnedRange& each) {
+    return each.range.Contains(30'000);
+  });
+  REQUIRE(home != owned.end());
+  CHECK(home->owner == InstanceId{"e3"});
+  double beside = 0;
+  for (const OwnedRange& each : owned) {
+    beside += each.owner == home->owner ? demand.Rate(each.range) : 0;
+  }
+  beside -= demand.Rate(KeyNumber{30'000});
+  CHECK(beside < 0.25 * demand.Rate(KeyNumber{30'000}));
+  // It stays there: plans that go on moving it would take it from its callers.
+  for (const KeyMove& move : DensePiecePlacement{}.Plan(owned, demand, targets)) {
+    CHECK_FALSE(move.range.Contains(30'000));
+  }
+}
+
+TEST_CASE("even ranges cover every key once") {
+  for (const std::vector<double>& capacities :
+       {std::vector<double>{1}, {1, 1, 1}, {0.5, 7, 3, 3, 3}, std::vector<double>(239, 4.0)}) {
+    KeyNumber next = 0;
+    for (const KeyMove& each : EvenRanges(Endpoints(capacities))) {
+      CHECK(each.range.first == next);
+      CHECK(each.range.first <= each.range.last);
+      next = each.range.last + 1;
+    }
+    CHECK(next == kKeyCount);
+  }
+}
+
+TEST_CASE("changes turn one map of served keys into the next") {
+  std::mt19937 random{7};
+  const auto draw = [&random] {
+    std::vector<ServedRange> ranges;
+    KeyNumber first = 0;
+    while (first < 1000) {
+      const KeyNumber last = first + static_cast<KeyNumber>(random() % 120);
+      if (random() % 5 != 0) {
+        ranges.push_back({{first, last}, InstanceId{"e" + std::to_string(random() % 4)}});
+      }
+      first = last + 1;
+    }
+    return ranges;
+  };
+  for (int round = 0; round < 200; ++round) {
+    const std::vector<ServedRange> from = draw();
+    const std::vector<ServedRange> to = draw();
+    CHECK(WithChanges(from, Changes(from, to)) == to);
+    CHECK(Changes(from, from).empty());
+  }
+}
+
+TEST_CASE("a daemon follows the latest announcement, and the record when none is heard") {
+  const auto announce = [](std::uint64_t term, std::uint64_t sequence, std::uint64_t base,
+                           const std::string& owner) {
+    return KeyAnnouncement{{term}, sequence, base, {{{0, 99}, InstanceId{owner}}}};
+  };
+  const Instant start{std::chrono::seconds{100}};
+  const auto later = [start](int milliseconds) {
+    return start + std::chrono::milliseconds{milliseconds};
+  };
+  KeyRoutes routes;
+  OwnershipRecord record;
+  record.term = {3};
+  record.ranges = {{{0, 99}, InstanceId{"recorded"}, {}, {1}}};
+  routes.TakeRecord(record);
+  CHECK(routes.OwnerOf(5, start) == InstanceId{"recorded"});
+  CHECK_FALSE(routes.OwnerOf(100, start).has_value());
+  routes.TakeAnnouncement(announce(3, 10, 0, "whole"), start);
+  CHECK(routes.OwnerOf(5, start) == InstanceId{"whole"});
+  routes.TakeAnnouncement(announce(3, 12, 10, "changed"), later(10));
+  CHECK(routes.OwnerOf(5, later(10)) == InstanceId{"changed"});
+  // Overtaken, of an earlier term, or built on an announcement that was missed.
+  routes.TakeAnnouncement(announce(3, 11, 10, "late"), later(20));
+  routes.TakeAnnouncement(announce(2, 50, 0, "deposed"), later(20));
+  routes.TakeAnnouncement(announce(3, 14, 13, "gap"), later(20));
+  CHECK(routes.OwnerOf(5, later(20)) == InstanceId{"changed"});
+  // Nothing heard for long: the record decides again.
+  CHECK(routes.OwnerOf(5, later(5000)) == InstanceId{"recorded"});
+  // A record of a later term outdoes what an earlier leader announced.
+  record.term = {4};
+  record.ranges.front().owner = InstanceId{"next"};
+  routes.TakeRecord(record);
+  CHECK(routes.OwnerOf(5, later(20)) == InstanceId{"next"});
+}
--- a/tests/core/key_world.cc
+++ b/tests/core/key_world.cc
@@ -21,7 +21,7 @@
 // Keys are held and checked in steps of so many.
 constexpr KeyNumber kGrain = 64;
 constexpr KeyNumber kGrains = kKeyCount / kGrain;
-constexpr int kSecondMs = 1000;
+constexpr std::int64_t kSecondMs = 1000;
 // From the signal to a daemon to the start of the next one.
 constexpr std::int64_t kStopMs = 2500;
 constexpr int kMeasuredSeconds = 10;
@@ -30,8 +30,7 @@
 
 }  // namespace
 
-KeyWorld::KeyWorld(std::uint64_t seed, KeyWorldFaults faults)
-    : random_(seed), faults_(std::move(faults)) {
+KeyWorld::KeyWorld(std::uint64_t seed, KeyWorldFaults faults) : random_(seed), faults_(faults) {
   for (int i = 0; i < kEndpoints; ++i) {
     FakeEndpoint endpoint;
     endpoint.id = InstanceId{"e" + std::to_string(i)};
@@ -50,7 +49,9 @@
 
 double KeyWorld::Draw() { return std::uniform_real_distribution<double>{0, 1}(random_); }
 
-int KeyWorld::Pick(int below) { return std::uniform_int_distribution<int>{0, below - 1}(random_); }
+int KeyWorld::Pick(std::int64_t below) {
+  return std::uniform_int_distribution<int>{0, static_cast<int>(below) - 1}(random_);
+}
 
 void KeyWorld::After(std::int64_t delay_ms, std::function<void()> run) {
   events_.push_back({now_ms_ + delay_ms, std::move(run)});
@@ -445,12 +446,12 @@
 }
 
 KeyWorldReport KeyWorld::Run(int faulty_s, int calm_s) {
-  const auto steps = [](int seconds) { return seconds * kSecondMs / kStepMs; };
-  for (int i = 0; i < steps(faulty_s) && report_.complaint.empty(); ++i) {
+  const auto steps = [](std::int64_t seconds) { return seconds * kSecondMs / kStepMs; };
+  for (std::int64_t i = 0; i < steps(faulty_s) && report_.complaint.empty(); ++i) {
     Step(true);
   }
   faults_ = {};
-  for (int i = 0; i < steps(calm_s) && report_.complaint.empty(); ++i) {
+  for (std::int64_t i = 0; i < steps(calm_s) && report_.complaint.empty(); ++i) {
     Step(false);
     if (i > steps(calm_s - kMeasuredSeconds)) {
       MeasureGaps();
--- a/tests/core/key_world.h
+++ b/tests/core/key_world.h
@@ -100,7 +100,7 @@
   Instant Now() const;
   double Draw();
   bool Chance(double share) { return Draw() < share; }
-  int Pick(int below);
+  int Pick(std::int64_t below);
   void After(std::int64_t delay_ms, std::function<void()> run);
   void StartDaemon(FakeDaemon& daemon);
   void Step(bool faulty);
--- /dev/null
+++ b/tests/core/routing_test.cc
@@ -0,0 +1,256 @@
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <map>
+#include <string>
+
+#include "core/admission.h"
+#include "core/domain_watch.h"
+#include "core/endpoint_choice.h"
+#include "core/retry_allowance.h"
+#include "core/route_table.h"
+
+using namespace sycamorestall;    // NOLINT
+using std::chrono::milliseconds;  // NOLINT
+using std::chrono::seconds;       // NOLINT
+
+namespace {
+
+const Instant kStart{seconds{1000}};
+
+Route MakeRoute(const std::string& host, const std::string& prefix,
+                std::vector<WeightedService> services) {
+  Route route;
+  route.name = prefix;
+  route.host = host;
+  route.prefix = prefix;
+  route.services = std::move(services);
+  return route;
+}
+
+EndpointEntry MakeEndpoint(const std::string& id, const std::string& domain = "north") {
+  EndpointEntry entry;
+  entry.id = InstanceId{id};
+  entry.service = ServiceName{"pumps"};
+  entry.address = {"127.0.0.1", 1};
+  entry.domain = DomainName{domain};
+  entry.slots = 4;
+  return entry;
+}
+
+// Lets an endpoint answer so many requests, each after the given time.
+void Teach(EndpointFleet& fleet, const std::string& id, milliseconds answer, int count,
+           EndpointEvidence evidence = EndpointEvidence::kServed) {
+  for (int i = 0; i < count; ++i) {
+    fleet.BeginRequest(InstanceId{id});
+    fleet.EndRequest(InstanceId{id}, evidence, answer, 1, kStart);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix of the host decides") {
+  RoutingConfig config;
+  config.routes = {MakeRoute("a.example", "/x/", {{ServiceName{"short"}, 1}}),
+                   MakeRoute("a.example", "/x/y/", {{ServiceName{"long"}, 1}}),
+                   MakeRoute("b.example", "/x/", {{ServiceName{"other"}, 1}})};
+  const RouteTable table{config};
+  struct Row {
+    std::string host;
+    std::string path;
+    std::string service;
+  };
+  const Row rows[] = {{"a.example", "/x/1", "short"}, {"a.example", "/x/y/1", "long"},
+                      {"a.example", "/x/y", "short"}, {"b.example", "/x/y/1", "other"},
+                      {"a.example", "/x", ""},        {"c.example", "/x/1", ""}};
+  for (const Row& row : rows) {
+    CAPTURE(row.host);
+    CAPTURE(row.path);
+    const Route* route = table.Find(row.host, row.path);
+    CHECK((route == nullptr ? "" : route->services.front().service.value()) == row.service);
+  }
+}
+
+TEST_CASE("services of a route get their shares, also over short spans") {
+  struct Row {
+    std::string name;
+    std::vector<double> weights;
+  };
+  const Row rows[] = {{"even", {1, 1}}, {"ninety to ten", {90, 10}}, {"three", {5, 3, 2}}};
+  constexpr int kRequests = 100;
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RoutingConfig config;
+    std::vector<WeightedService> services;
+    double total = 0;
+    for (std::size_t i = 0; i < row.weights.size(); ++i) {
+      services.push_back({ServiceName{std::to_string(i)}, row.weights[i]});
+      total += row.weights[i];
+    }
+    config.routes = {MakeRoute("a", "/", services)};
+    RouteTable table{config};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < kRequests; ++i) {
+      ++counts[table.NextService(*table.Find("a", "/")).value()];
+    }
+    for (std::size_t i = 0; i < row.weights.size(); ++i) {
+      CHECK(std::abs(counts[std::to_string(i)] - kRequests * row.weights[i] / total) <= 1);
+    }
+  }
+}
+
+TEST_CASE("daemons together stay within the retries that all may make") {
+  struct Row {
+    std::string name;
+    // Requests a second that each daemon takes.
+    std::vector<int> rates;
+  };
+  const Row rows[] = {
+      {"even", {50, 50, 50, 50}}, {"all at one", {200, 0, 0, 0}}, {"uneven", {150, 30, 15, 5}}};
+  const RetryLimits limits{0.2, 56, seconds{10}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<RetryAllowance> daemons(row.rates.size(), RetryAllowance{limits});
+    int requests = 0;
+    int retries = 0;
+    // Every request asks for a retry, for the length of one window.
+    for (int second = 0; second < 10; ++second) {
+      for (std::size_t i = 0; i < daemons.size(); ++i) {
+        for (int n = 0; n < row.rates[i]; ++n) {
+          const Instant now = kStart + seconds{second} + milliseconds{n};
+          daemons[i].CountRequest(ServiceName{"pumps"}, now);
+          ++requests;
+          retries += daemons[i].TakeRetry(ServiceName{"pumps"}, daemons.size(), now) ? 1 : 0;
+        }
+      }
+    }
+    CHECK(retries <= limits.share * requests + limits.extra);
+    CHECK(retries > 0);
+  }
+}
+
+TEST_CASE("requests go where an answer is likely soonest") {
+  struct Row {
+    std::string name;
+    milliseconds answer_a;
+    milliseconds answer_b;
+    int in_flight_a;
+    EndpointEvidence last_of_a;
+    std::string expected;
+  };
+  using E = EndpointEvidence;
+  const Row rows[] = {
+      {"the faster one", milliseconds{50}, milliseconds{200}, 0, E::kServed, "a"},
+      {"not the slow one", milliseconds{400}, milliseconds{100}, 0, E::kServed, "b"},
+      {"not the full one", milliseconds{100}, milliseconds{120}, 8, E::kServed, "b"},
+      {"not the unreachable one", milliseconds{50}, milliseconds{200}, 0, E::kUnreachable, "b"},
+      {"not the failing one", milliseconds{100}, milliseconds{120}, 0, E::kFailed, "b"}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    fleet.Put(MakeEndpoint("a"), kStart);
+    fleet.Put(MakeEndpoint("b"), kStart);
+    Teach(fleet, "a", row.answer_a, 30);
+    Teach(fleet, "b", row.answer_b, 30);
+    Teach(fleet, "a", row.answer_a, 3, row.last_of_a);
+    for (int i = 0; i < row.in_flight_a; ++i) {
+      fleet.BeginRequest(InstanceId{"a"});
+    }
+    const DomainWatch domains;
+    const auto choice = ShortestAnswerChooser{}.Choose(
+        fleet, {ServiceName{"pumps"}, DomainName{"north"}, {}, domains, kStart});
+    REQUIRE(choice.has_value());
+    CHECK(choice->endpoint.value() == row.expected);
+  }
+}
+
+TEST_CASE("leaving, tried and foreign endpoints get nothing") {
+  EndpointFleet fleet;
+  EndpointEntry leaving = MakeEndpoint("leaving");
+  leaving.draining = true;
+  EndpointEntry foreign = MakeEndpoint("foreign");
+  foreign.service = ServiceName{"photos"};
+  fleet.Put(leaving, kStart);
+  fleet.Put(foreign, kStart);
+  fleet.Put(MakeEndpoint("tried"), kStart);
+  const DomainWatch domains;
+  const auto choice = ShortestAnswerChooser{}.Choose(
+      fleet, {ServiceName{"pumps"}, DomainName{"north"}, {InstanceId{"tried"}}, domains, kStart});
+  CHECK_FALSE(choice.has_value());
+}
+
+TEST_CASE("a restarted endpoint is not judged by its earlier start") {
+  EndpointFleet fleet;
+  EndpointEntry entry = MakeEndpoint("a");
+  fleet.Put(entry, kStart);
+  Teach(fleet, "a", milliseconds{900}, 20);
+  Teach(fleet, "a", milliseconds{0}, 3, EndpointEvidence::kUnreachable);
+  entry.incarnation = {2};
+  fleet.Put(entry, kStart);
+  CHECK(fleet.Find(InstanceId{"a"})->service_s == 0);
+  CHECK(fleet.Find(InstanceId{"a"})->avoid_until <= kStart);
+  CHECK(fleet.MeanServiceSeconds(ServiceName{"pumps"}) == 0);
+}
+
+TEST_CASE("what cannot be served in time is refused at once, urgent requests last") {
+  struct Row {
+    std::string name;
+    int in_flight;
+    std::size_t peers_in_flight;
+    int priority;
+    milliseconds time_left;
+    std::size_t daemons;
+    bool admitted;
+  };
+  const Row rows[] = {{"idle", 0, 0, 0, milliseconds{1000}, 1, true},
+                      {"no time left", 0, 0, 0, milliseconds{50}, 1, false},
+                      {"queue, urgent", 8, 0, 0, milliseconds{1000}, 1, true},
+                      {"queue, not urgent", 8, 0, 2, milliseconds{1000}, 1, false},
+                      {"filled by others", 0, 12, 0, milliseconds{1000}, 4, false},
+                      {"own share used up", 3, 0, 0, milliseconds{1000}, 26, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    fleet.Put(MakeEndpoint("a"), kStart);
+    Teach(fleet, "a", milliseconds{100}, 20);
+    for (int i = 0; i < row.in_flight; ++i) {
+      fleet.BeginRequest(InstanceId{"a"});
+    }
+    fleet.SetPeersInFlight(InstanceId{"a"}, row.peers_in_flight);
+    const EndpointState& endpoint = *fleet.Find(InstanceId{"a"});
+    const AdmissionVerdict verdict = Admit(endpoint, ExpectedAnswerSeconds(endpoint, 0.1, kStart),
+                                           {row.time_left, row.priority, row.daemons});
+    CHECK(verdict.admitted == row.admitted);
+    if (!verdict.admitted) {
+      CHECK(verdict.retry_after >= milliseconds{50});
+      CHECK(verdict.retry_after <= seconds{1});
+    }
+  }
+}
+
+TEST_CASE("a domain is out of reach when neither daemons nor endpoints are heard") {
+  struct Row {
+    std::string name;
+    int daemon_ms;
+    int answer_ms;
+    int now_ms;
+    bool silent;
+  };
+  const Row rows[] = {{"both heard", 1000, 1000, 1100, false},
+                      {"daemon lost, endpoints answer", 0, 1000, 1100, false},
+                      {"endpoints not asked, daemon heard", 1000, 0, 1100, false},
+                      {"both silent", 1000, 1000, 1600, true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    DomainWatch watch;
+    const DomainName domain{"south"};
+    watch.HearDaemon(domain, milliseconds{100}, kStart + milliseconds{row.daemon_ms});
+    watch.HearAnswer(domain, kStart + milliseconds{row.answer_ms});
+    const Instant now = kStart + milliseconds{row.now_ms};
+    CHECK(watch.IsSilent(domain, now) == row.silent);
+    // A few requests go on trying, so that the domain's return is found.
+    CHECK(watch.MayTry(domain, now));
+    CHECK(watch.MayTry(domain, now) == !row.silent);
+  }
+  CHECK_FALSE(DomainWatch{}.IsSilent(DomainName{"never heard"}, kStart));
+}
