Test the routing daemon as a process over a stand-in store and stand-in endpoints

Stand-ins speak the platform's store (watches, leases, changes under conditions, outages, lost answers, dropped history) and an endpoint's grants, releases, refusals and false answers; a scripted server gives answers that no proper server gives.

--- /dev/null
+++ b/tests/fakes/key_value_store.cc
@@ -0,0 +1,255 @@
+#include "fakes/key_value_store.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <nlohmann/json.hpp>
+
+#include "clock/system_clock.h"
+#include "fakes/json_answer.h"
+
+namespace sycamorestall::fakes {
+
+namespace {
+
+namespace base64 = boost::beast::detail::base64;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kTick{5};
+
+std::string Encode(const std::string& value) {
+  std::string text(base64::encoded_size(value.size()), '\0');
+  text.resize(base64::encode(text.data(), value.data(), value.size()));
+  return text;
+}
+
+std::string Decode(const std::string& text) {
+  std::string value(base64::decoded_size(text.size()), '\0');
+  value.resize(base64::decode(value.data(), text.data(), text.size()).first);
+  return value;
+}
+
+std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  return at == std::string::npos ? 0 : std::stoull(target.substr(at + name.size() + 1));
+}
+
+}  // namespace
+
+KeyValueStore::KeyValueStore() : address_(FreeAddress(context_)) {
+  listener_ = std::make_unique<CallerListener>(context_, address_, *this);
+  thread_ = std::thread([this] { Run(); });
+}
+
+KeyValueStore::~KeyValueStore() {
+  {
+    const std::lock_guard lock{mutex_};
+    ending_ = true;
+  }
+  thread_.join();
+}
+
+CallerLimits KeyValueStore::Limits() const {
+  CallerLimits limits;
+  limits.max_body_bytes = std::uint64_t{4} << 20;
+  return limits;
+}
+
+void KeyValueStore::Run() {
+  for (;;) {
+    context_.restart();
+    context_.run_for(kTick);
+    const std::lock_guard lock{mutex_};
+    if (ending_) {
+      return;
+    }
+    Tick();
+  }
+}
+
+void KeyValueStore::Tick() {
+  const Instant now = BootNow();
+  std::vector<std::uint64_t> ended;
+  for (const auto& [id, lease] : leases_) {
+    if (now > lease.until) {
+      ended.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : ended) {
+    leases_.erase(id);
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (item.lease == id) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      Erase(key);
+    }
+  }
+  if (trouble_ == StoreTrouble::kNone || trouble_ == StoreTrouble::kAnswersLost) {
+    std::erase_if(watches_, [&](const Watch& watch) { return AnswerWatch(watch, now); });
+  }
+}
+
+void KeyValueStore::Write(const std::string& key, const std::string& value, std::uint64_t lease) {
+  items_[key] = {value, revision_, lease};
+  history_.push_back({{key, value, {revision_}}, false});
+}
+
+void KeyValueStore::Erase(const std::string& key) {
+  ++revision_;
+  items_.erase(key);
+  history_.push_back({{key, "", {revision_}}, true});
+}
+
+void KeyValueStore::Put(const std::string& key, const std::string& value) {
+  const std::lock_guard lock{mutex_};
+  ++revision_;
+  Write(key, value, 0);
+}
+
+void KeyValueStore::Remove(const std::string& key) {
+  const std::lock_guard lock{mutex_};
+  Erase(key);
+}
+
+std::string KeyValueStore::Value(const std::string& key) {
+  const std::lock_guard lock{mutex_};
+  const auto found = items_.find(key);
+  return found == items_.end() ? "" : found->second.value;
+}
+
+std::vector<std::string> KeyValueStore::Keys(const std::string& prefix) {
+  const std::lock_guard lock{mutex_};
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(prefix)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+void KeyValueStore::SetTrouble(StoreTrouble trouble) {
+  const std::lock_guard lock{mutex_};
+  trouble_ = trouble;
+}
+
+void KeyValueStore::DropHistory() {
+  const std::lock_guard lock{mutex_};
+  history_.clear();
+  oldest_known_ = revision_ + 1;
+  ++revision_;
+}
+
+void KeyValueStore::TakeRequest(std::shared_ptr<CallerExchange> exchange) {
+  const std::lock_guard lock{mutex_};
+  const std::string target{exchange->request().target()};
+  if (trouble_ == StoreTrouble::kBusy) {
+    AnswerJson(*exchange, 503, {});
+  } else if (trouble_ == StoreTrouble::kSilent) {
+    unanswered_.push_back(std::move(exchange));
+  } else if (target.starts_with("/v1/kv-range")) {
+    Range(*exchange);
+  } else if (target.starts_with("/v1/kv-watch")) {
+    BeginWatch(std::move(exchange), target);
+  } else if (target == "/v1/kv-txn") {
+    Change(*exchange);
+    unanswered_.push_back(std::move(exchange));
+  } else if (target == "/v1/kv-lease") {
+    OpenLease(*exchange);
+  } else if (target.starts_with("/v1/kv-keep/")) {
+    KeepLease(*exchange, target);
+  } else if (target.starts_with("/v1/kv-lease-end/")) {
+    leases_[std::stoull(target.substr(target.rfind('/') + 1))].until = Instant{};
+    AnswerJson(*exchange, 200, json::object());
+  } else {
+    AnswerJson(*exchange, 404, {});
+  }
+}
+
+void KeyValueStore::Range(CallerExchange& exchange) {
+  json items = json::array();
+  for (const auto& [key, item] : items_) {
+    items.push_back({{"key", key},
+                     {"value", Encode(item.value)},
+                     {"revision", item.revision},
+                     {"lease", item.lease}});
+  }
+  AnswerJson(exchange, 200,
+             {{"items", std::move(items)}, {"has_more", false}, {"store_revision", revision_}});
+}
+
+void KeyValueStore::BeginWatch(std::shared_ptr<CallerExchange> exchange,
+                               const std::string& target) {
+  const std::uint64_t after = QueryNumber(target, "after");
+  if (after + 1 < oldest_known_) {
+    AnswerJson(*exchange, 410, {});
+    return;
+  }
+  const Instant until = BootNow() + std::chrono::milliseconds{QueryNumber(target, "wait_ms")};
+  watches_.push_back({std::move(exchange), after, until});
+}
+
+bool KeyValueStore::AnswerWatch(const Watch& watch, Instant now) {
+  json events = json::array();
+  for (const StoreEvent& event : history_) {
+    if (event.item.revision.value <= watch.after) {
+      continue;
+    }
+    json row{{"key", event.item.key}, {"revision", event.item.revision.value}};
+    if (event.removed) {
+      row["removed"] = true;
+    } else {
+      row["value"] = Encode(event.item.value);
+    }
+    events.push_back(std::move(row));
+  }
+  if (events.empty() && now < watch.until) {
+    return watch.exchange->abandoned();
+  }
+  AnswerJson(*watch.exchange, 200, {{"events", std::move(events)}, {"store_revision", revision_}});
+  return true;
+}
+
+void KeyValueStore::Change(CallerExchange& exchange) {
+  const json body = json::parse(*exchange.body());
+  for (const json& row : body.at("expect")) {
+    const auto item = items_.find(row.at("key").get<std::string>());
+    const std::uint64_t revision = item == items_.end() ? 0 : item->second.revision;
+    if (revision != row.at("revision").get<std::uint64_t>()) {
+      AnswerJson(exchange, 412, {{"items", json::array()}});
+      return;
+    }
+  }
+  ++revision_;
+  for (const json& row : body.at("puts")) {
+    const std::uint64_t lease = row.value("lease", std::uint64_t{0});
+    Write(row.at("key").get<std::string>(), Decode(row.at("value").get<std::string>()), lease);
+  }
+  if (trouble_ != StoreTrouble::kAnswersLost) {
+    AnswerJson(exchange, 200, {{"revision", revision_}});
+  }
+}
+
+void KeyValueStore::OpenLease(CallerExchange& exchange) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  const double seconds = json::parse(*exchange.body()).at("ttl_s_time").get<double>();
+  const std::chrono::milliseconds time_to_live{
+      static_cast<std::int64_t>(seconds * kMillisecondsPerSecond)};
+  const std::uint64_t id = next_lease_++;
+  leases_[id] = {BootNow() + time_to_live, time_to_live};
+  AnswerJson(exchange, 200, {{"lease", id}, {"ttl_s_time", seconds}});
+}
+
+void KeyValueStore::KeepLease(CallerExchange& exchange, const std::string& target) {
+  const auto lease = leases_.find(std::stoull(target.substr(target.rfind('/') + 1)));
+  if (lease == leases_.end()) {
+    AnswerJson(exchange, 404, {});
+    return;
+  }
+  lease->second.until = BootNow() + lease->second.time_to_live;
+  AnswerJson(exchange, 200, json::object());
+}
+
+}  // namespace sycamorestall::fakes
--- /dev/null
+++ b/tests/fakes/scripted_server.cc
@@ -0,0 +1,103 @@
+#include "fakes/scripted_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace sycamorestall::fakes {
+
+namespace {
+
+namespace asio = boost::asio;
+
+std::string HeaderOf(const std::string& head, const std::string& name) {
+  const std::size_t at = head.find(name + ": ");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + name.size() + 2;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+}  // namespace
+
+ScriptedServer::ScriptedServer(Script script)
+    : script_(std::move(script)),
+      acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+      thread_([this] { Serve(); }) {}
+
+ScriptedServer::~ScriptedServer() {
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  thread_.join();
+  for (const int socket : sockets_) {
+    ::shutdown(socket, SHUT_RDWR);
+  }
+  for (std::thread& connection : connections_) {
+    connection.join();
+  }
+  for (const int socket : sockets_) {
+    ::close(socket);
+  }
+}
+
+NetworkAddress ScriptedServer::address() const {
+  return {"127.0.0.1", acceptor_.local_endpoint().port()};
+}
+
+void ScriptedServer::Serve() {
+  for (int number = 0;; ++number) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket{context_};
+    acceptor_.accept(socket, error);
+    if (error) {
+      return;
+    }
+    // A second handle lets the end of the test wake the connection's thread.
+    sockets_.push_back(::dup(socket.native_handle()));
+    connections_.emplace_back(
+        [this, number, moved = std::make_shared<asio::ip::tcp::socket>(std::move(socket))] {
+          ServeConnection(std::move(*moved), number < script_.answered_connections);
+        });
+  }
+}
+
+void ScriptedServer::ServeConnection(asio::ip::tcp::socket socket, bool answers) {
+  asio::streambuf buffer;
+  for (;;) {
+    boost::system::error_code error;
+    const std::size_t size = asio::read_until(socket, buffer, "\r\n\r\n", error);
+    if (error) {
+      return;
+    }
+    const std::string head(static_cast<const char*>(buffer.data().data()), size);
+    buffer.consume(size);
+    const std::string length = HeaderOf(head, "Content-Length");
+    if (!script_.early && !length.empty()) {
+      const std::size_t body = std::stoul(length);
+      while (buffer.size() < body && !error) {
+        buffer.commit(socket.read_some(buffer.prepare(body), error));
+      }
+      buffer.consume(body);
+    }
+    if (!answers) {
+      continue;
+    }
+    std::string bytes = script_.bytes;
+    const std::size_t mark = bytes.find("@ID@");
+    if (mark != std::string::npos) {
+      bytes.replace(mark, 4, HeaderOf(head, "X-Request-Id"));
+    }
+    asio::write(socket, asio::buffer(bytes), error);
+    if (script_.end != ScriptEnd::kKeep) {
+      socket.shutdown(asio::socket_base::shutdown_both, error);
+      socket.close(error);
+      return;
+    }
+  }
+}
+
+}  // namespace sycamorestall::fakes
--- /dev/null
+++ b/tests/platform/format_test.cc
@@ -0,0 +1,125 @@
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+
+#include "platform/directory_format.h"
+#include "router/daemon_message.h"
+#include "router/record_codec.h"
+
+using namespace sycamorestall;  // NOLINT
+using sycamorestall::platform::PlatformDirectoryFormat;
+
+TEST_CASE("an endpoint's entry is taken whole or not at all") {
+  struct Row {
+    std::string name;
+    std::string text;
+    bool usable;
+    bool draining;
+  };
+  const std::string begin = R"({"service":"s","address":"10.0.0.9:8080","zone":"north",)";
+  const Row rows[] = {
+      {"ready",
+       begin + R"("max_concurrency":6,"state":"ready","warmup_left_s":0,"seq":4,"born":17})", true,
+       false},
+      {"draining", begin + R"("max_concurrency":6,"state":"draining","warmup_left_s":1.5,"seq":4})",
+       true, true},
+      {"unknown state", begin + R"("max_concurrency":6,"state":"odd","warmup_left_s":0})", false,
+       false},
+      {"slots missing", begin + R"("state":"ready","warmup_left_s":0})", false, false},
+      {"slots of another type",
+       begin + R"("max_concurrency":"6","state":"ready","warmup_left_s":0})", false, false},
+      {"no port",
+       R"({"service":"s","address":"10.0.0.9","zone":"n","max_concurrency":6,"state":"ready",)"
+       R"("warmup_left_s":0})",
+       false, false},
+      {"no JSON", "\xff\xfe", false, false},
+      {"another value", "[1,2]", false, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::string problem;
+    const auto entry =
+        PlatformDirectoryFormat{}.ReadEndpoint({"servers/i-1", row.text, {7}}, problem);
+    CHECK(entry.has_value() == row.usable);
+    CHECK(problem.empty() == row.usable);
+    if (entry) {
+      CHECK(entry->id == InstanceId{"i-1"});
+      CHECK(entry->address == NetworkAddress{"10.0.0.9", 8080});
+      CHECK(entry->draining == row.draining);
+    }
+  }
+}
+
+TEST_CASE("a configuration is read with its routes, shares and limits") {
+  const std::string text =
+      R"({"version":7,"services":[{"name":"soil","sharded":true,"max_conns":110,"warm_s":2.0},)"
+      R"({"name":"pumps"}],"limits":{"max_header_bytes":9000,"max_body_bytes":100,)"
+      R"("header_timeout_s":3,"idle_timeout_s":1.5},"hosts":[{"host":"h.example","paths":[)"
+      R"({"name":"r","prefix":"/x/","kind":"safe","timeout_s":1.2,"aim_s":0.3,"priority":1,)"
+      R"("max_attempts":2,"traffic_split":[{"service":"soil","weight":90},)"
+      R"({"service":"pumps","weight":10},{"service":"off","weight":0}]},)"
+      R"({"prefix":"/y/","kind":"odd","timeout_s":1,"service":"pumps"}]}]})";
+  std::string problem;
+  const auto config = PlatformDirectoryFormat{}.ReadConfig(text, problem);
+  REQUIRE(config.has_value());
+  CHECK(config->version == 7);
+  CHECK(config->services.at(ServiceName{"soil"}).owns_keys);
+  CHECK_FALSE(config->services.at(ServiceName{"pumps"}).owns_keys);
+  CHECK(config->limits.max_header_bytes == 9000);
+  CHECK(config->limits.idle_timeout == std::chrono::milliseconds{1500});
+  REQUIRE(config->routes.size() == 2);
+  const Route& route = config->routes.front();
+  CHECK(route.kind == RequestKind::kSafe);
+  CHECK(route.timeout == std::chrono::milliseconds{1200});
+  CHECK(route.services.size() == 2);
+  // What is not known to be safe is never run twice.
+  CHECK(config->routes.back().kind == RequestKind::kUnsafe);
+  for (const std::string& bad : {std::string{"{}"}, std::string{"no"}, text.substr(0, 90)}) {
+    CHECK_FALSE(PlatformDirectoryFormat{}.ReadConfig(bad, problem).has_value());
+  }
+}
+
+TEST_CASE("a record is read as it was written, and only if all its pieces belong together") {
+  std::mt19937 random{3};
+  OwnershipRecord record;
+  record.term = {9};
+  record.leader = InstanceId{"d1"};
+  record.change_id = "d1.9.4";
+  record.highest = {55};
+  KeyNumber first = 0;
+  while (first < kKeyCount) {
+    const KeyNumber last =
+        std::min<KeyNumber>(first + static_cast<KeyNumber>(random() % 6000), kKeyCount - 1);
+    const InstanceId owner{"e" + std::to_string(random() % 9)};
+    record.ranges.push_back({{first, last}, owner, {random()}, {random() % 50}});
+    record.addresses[owner] = {"10.0.0.1", static_cast<std::uint16_t>(random())};
+    first = last + 1;
+  }
+  const RecordTexts texts = EncodeRecord(record);
+  std::string problem;
+  CHECK(DecodeRecord(texts, problem) == record);
+  for (std::size_t i = 0; i < kRecordPieces; ++i) {
+    RecordTexts mixed = texts;
+    mixed.pieces[i] = R"({"ranges":[],"addresses":{}})";
+    CHECK(DecodeRecord(mixed, problem).has_value() == (mixed.pieces[i] == texts.pieces[i]));
+  }
+  RecordTexts cut = texts;
+  cut.head.resize(cut.head.size() / 2);
+  CHECK_FALSE(DecodeRecord(cut, problem).has_value());
+}
+
+TEST_CASE("datagrams that are not whole are thrown away") {
+  DaemonMessage message;
+  message.sender = InstanceId{"d1"};
+  message.loads = {{InstanceId{"e1"}, 3}};
+  message.demands = {{ServiceName{"soil"}, {{17, 2}, {18, 1}}}};
+  message.announcements = {{ServiceName{"soil"}, {2}, 5, 4, 0, 1, {{{0, 9}, InstanceId{"e1"}}}}};
+  const std::string bytes = EncodeMessage(message);
+  const auto decoded = DecodeMessage(bytes);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->demands.front().counts == message.demands.front().counts);
+  CHECK(decoded->announcements.front().ranges == message.announcements.front().ranges);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeMessage(bytes.substr(0, size)).has_value());
+  }
+}
--- /dev/null
+++ b/tests/router/router_deployment.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes/key_endpoint.h"
+#include "fakes/key_value_store.h"
+
+namespace sycamorestall::testing {
+
+// What a caller got back; status 0 says that nothing came.
+struct CallerAnswer {
+  int status = 0;
+  std::string id;
+  std::string body;
+  std::string retry_after;
+};
+
+// A request of a test's caller.
+struct CallerCall {
+  std::string path = "/soil/1";
+  std::string method = "GET";
+  std::string id = {};
+  std::optional<KeyNumber> key = {};
+  int patience_ms = 2000;
+  std::string body = {};
+};
+
+// Routing daemons as real processes, with a stand-in store and stand-in endpoints.
+// Of its services, soil owns keys and its requests are safe; pumps owns none and
+// its requests are not.
+class RouterDeployment {
+ public:
+  RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints);
+  ~RouterDeployment();
+  RouterDeployment(const RouterDeployment&) = delete;
+  RouterDeployment& operator=(const RouterDeployment&) = delete;
+
+  // Writes a configuration; later ones need a higher version.
+  void Configure(int version, const std::string& pump_prefix = "/pumps/");
+  // Says in the store what an endpoint is; entries are kept fresh by nobody.
+  void Enlist(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
+              std::uint64_t start = 1);
+  void Delist(const fakes::KeyEndpoint& endpoint);
+  // Waits until all daemons say that they are ready and keys are served.
+  bool WaitUntilServed();
+
+  void StartDaemon(std::size_t number);
+  void Signal(std::size_t number, int signal);
+  // Waits for the end of a daemon and gives its exit status; -1 if it was killed
+  // or goes on for longer than so many seconds.
+  int Await(std::size_t number, int seconds = 10);
+  // What a daemon has written so far.
+  std::string Log(std::size_t number) const;
+
+  CallerAnswer Ask(std::size_t daemon, CallerCall call);
+  int Readiness(std::size_t daemon);
+  std::string Metrics(std::size_t daemon);
+
+  fakes::KeyValueStore store;
+  std::vector<std::unique_ptr<fakes::KeyEndpoint>> soil;
+  std::vector<std::unique_ptr<fakes::KeyEndpoint>> pumps;
+
+ private:
+  struct Daemon {
+    pid_t process = 0;
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t metrics = 0;
+    std::string settings;
+    std::string log;
+  };
+
+  std::string folder_;
+  std::vector<Daemon> daemons_;
+  int next_id_ = 1;
+};
+
+}  // namespace sycamorestall::testing
--- /dev/null
+++ b/tests/router/routing_daemon_test.cc
@@ -0,0 +1,249 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+
+#include "router/router_deployment.h"
+
+using namespace sycamorestall;           // NOLINT
+using namespace sycamorestall::testing;  // NOLINT
+using sycamorestall::fakes::EndpointTrouble;
+using sycamorestall::fakes::StoreTrouble;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Asks until the status comes, and says how long that took; empty after 20 s.
+std::optional<std::chrono::milliseconds> TimeUntil(RouterDeployment& deployment,
+                                                   const CallerCall& call, int status) {
+  const auto begin = Clock::now();
+  while (Clock::now() - begin < std::chrono::seconds{20}) {
+    if (deployment.Ask(0, call).status == status) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+  }
+  return std::nullopt;
+}
+
+std::size_t CountRuns(RouterDeployment& deployment, const std::string& id) {
+  std::size_t runs = 0;
+  for (const auto& endpoint : deployment.pumps) {
+    const auto found = endpoint->Runs();
+    const auto own = found.find(id);
+    runs += own == found.end() ? 0 : static_cast<std::size_t>(own->second);
+  }
+  return runs;
+}
+
+}  // namespace
+
+TEST_CASE("requests are answered by route, key and form") {
+  RouterDeployment deployment{2, 3, 2};
+  REQUIRE(deployment.WaitUntilServed());
+  struct Row {
+    std::string name;
+    CallerCall call;
+    int status;
+    std::string body;
+  };
+  const Row rows[] = {
+      {"by key", {.path = "/soil/1", .id = "a", .key = 40'000}, 200, "ran a"},
+      {"without key", {.path = "/pumps/1", .method = "POST", .id = "b"}, 200, "ran b"},
+      {"with a body",
+       {.path = "/pumps/1", .method = "POST", .id = "c", .body = std::string(100'000, 'x')},
+       200,
+       "ran c"},
+      {"no route", {.path = "/nowhere/1", .id = "d"}, 404, ""},
+      {"prefix without its slash", {.path = "/soil", .id = "e"}, 404, ""}};
+  for (const Row& row : rows) {
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+      CAPTURE(row.name);
+      const CallerAnswer answer = deployment.Ask(daemon, row.call);
+      CHECK(answer.status == row.status);
+      CHECK(answer.id == row.call.id);
+      if (!row.body.empty()) {
+        CHECK(answer.body == row.body);
+      }
+    }
+  }
+  CHECK(deployment.Metrics(0).find("sycamorestall_request_seconds") != std::string::npos);
+  CHECK(deployment.Log(0).find("id=a status=200") != std::string::npos);
+}
+
+TEST_CASE("work that is not idempotent runs at most once, and refusals are true") {
+  struct Row {
+    std::string name;
+    EndpointTrouble trouble;
+    int status;
+    std::size_t runs;
+  };
+  const Row rows[] = {{"full", EndpointTrouble::kFull, 503, 0},
+                      {"another request's answer", EndpointTrouble::kForeignId, 502, 1},
+                      {"failing", EndpointTrouble::kFailing, 500, 1},
+                      {"silent", EndpointTrouble::kSilent, 504, 1}};
+  RouterDeployment deployment{1, 1, 2};
+  REQUIRE(deployment.WaitUntilServed());
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    for (const auto& endpoint : deployment.pumps) {
+      endpoint->SetTrouble(row.trouble);
+    }
+    const CallerAnswer answer = deployment.Ask(
+        0, {.path = "/pumps/1", .method = "POST", .id = row.name, .patience_ms = 1500});
+    CHECK(answer.status == row.status);
+    CHECK(CountRuns(deployment, row.name) == row.runs);
+    CHECK(answer.retry_after.empty() == (row.status != 503));
+  }
+}
+
+TEST_CASE("a route's timeout and the caller's patience both end a request") {
+  struct Row {
+    std::string name;
+    int patience_ms;
+    int least_ms;
+    int most_ms;
+  };
+  // The route allows 1 s.
+  const Row rows[] = {{"route", 5000, 900, 1500}, {"caller", 400, 300, 900}};
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  deployment.pumps.front()->SetTrouble(EndpointTrouble::kSilent);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const auto begin = Clock::now();
+    const CallerAnswer answer =
+        deployment.Ask(0, {.path = "/pumps/1", .method = "POST", .patience_ms = row.patience_ms});
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
+    CHECK(answer.status == 504);
+    CHECK(took.count() >= row.least_ms);
+    CHECK(took.count() <= row.most_ms);
+  }
+}
+
+TEST_CASE("keys of an endpoint that leaves or restarts are served again soon") {
+  struct Row {
+    std::string name;
+    bool leaves;
+    // The users' bound for leaving endpoints; restarts are learnt from the list.
+    int bound_ms;
+  };
+  const Row rows[] = {{"leaves", true, 2000}, {"restarts", false, 3000}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterDeployment deployment{2, 2, 1};
+    REQUIRE(deployment.WaitUntilServed());
+    const std::size_t owner = deployment.soil[0]->Holds(7) ? 0 : 1;
+    if (row.leaves) {
+      deployment.Enlist(*deployment.soil[owner], "draining");
+    } else {
+      deployment.soil[owner] =
+          std::make_unique<fakes::KeyEndpoint>("soil-" + std::to_string(owner), true);
+      deployment.Enlist(*deployment.soil[owner], "ready", 2);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{row.bound_ms});
+    CHECK(deployment.Ask(0, {.key = 7}).status == 200);
+    CHECK(deployment.Ask(1, {.key = 7}).status == 200);
+    if (row.leaves) {
+      const std::size_t other = 1 - owner;
+      CHECK(deployment.soil[other]->Holds(7));
+      CHECK_FALSE(deployment.soil[owner]->Holds(7));
+      CHECK(deployment.soil[other]->LastHandover() == "from-" + deployment.soil[owner]->id());
+    }
+  }
+}
+
+TEST_CASE("the store may be away, and what is known stays in force") {
+  struct Row {
+    std::string name;
+    StoreTrouble trouble;
+  };
+  const Row rows[] = {{"refuses", StoreTrouble::kBusy}, {"silent", StoreTrouble::kSilent}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterDeployment deployment{2, 2, 1};
+    REQUIRE(deployment.WaitUntilServed());
+    deployment.store.SetTrouble(row.trouble);
+    // Longer than a grant lives: grants are renewed without the store.
+    std::this_thread::sleep_for(std::chrono::milliseconds{5500});
+    CHECK(deployment.Ask(0, {.key = 7}).status == 200);
+    CHECK(deployment.Ask(1, {.key = 65'000}).status == 200);
+    CHECK(deployment.Ask(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
+    deployment.store.SetTrouble(StoreTrouble::kNone);
+    deployment.Configure(2, "/pumps2/");
+    CHECK(TimeUntil(deployment, {.path = "/pumps2/1", .method = "POST"}, 200).has_value());
+  }
+}
+
+TEST_CASE("a configuration is in force within two seconds and never goes back") {
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  deployment.Configure(5, "/new/");
+  std::this_thread::sleep_for(std::chrono::milliseconds{2000});
+  CHECK(deployment.Ask(0, {.path = "/new/1", .method = "POST"}).status == 200);
+  CHECK(deployment.Ask(0, {.path = "/pumps/1", .method = "POST"}).status == 404);
+  deployment.Configure(4, "/old/");
+  std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+  CHECK(deployment.Ask(0, {.path = "/old/1", .method = "POST"}).status == 404);
+  CHECK(deployment.Ask(0, {.path = "/new/1", .method = "POST"}).status == 200);
+  deployment.store.DropHistory();
+  deployment.Configure(6, "/newer/");
+  CHECK(TimeUntil(deployment, {.path = "/newer/1", .method = "POST"}, 200).has_value());
+}
+
+TEST_CASE("without a configuration nothing is refused for good") {
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  deployment.store.SetTrouble(StoreTrouble::kBusy);
+  deployment.Signal(0, SIGKILL);
+  deployment.Await(0);
+  deployment.StartDaemon(0);
+  CHECK(TimeUntil(deployment, {.key = 7}, 503).has_value());
+  CHECK(deployment.Readiness(0) == 503);
+  deployment.store.SetTrouble(StoreTrouble::kNone);
+  CHECK(deployment.WaitUntilServed());
+}
+
+TEST_CASE("a stop finishes what runs and hands the keys on") {
+  RouterDeployment deployment{2, 2, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  deployment.pumps.front()->SetWork(std::chrono::milliseconds{700});
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    CAPTURE(daemon);
+    auto running = std::async(std::launch::async, [&deployment, daemon] {
+      return deployment.Ask(daemon, {.path = "/pumps/1", .method = "POST"});
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    deployment.Signal(daemon, SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    CHECK(deployment.Readiness(daemon) == 503);
+    CHECK(running.get().status == 200);
+    CHECK(deployment.Await(daemon) == 0);
+    const std::size_t other = 1 - daemon;
+    CHECK(deployment.Ask(other, {.key = 7}).status == 200);
+    deployment.StartDaemon(daemon);
+    REQUIRE(deployment.WaitUntilServed());
+  }
+}
+
+TEST_CASE("after all daemons are killed the recorded owners serve again") {
+  RouterDeployment deployment{2, 3, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  const std::size_t owner = deployment.soil[0]->Holds(7) ? 0 : deployment.soil[1]->Holds(7) ? 1 : 2;
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    deployment.Signal(daemon, SIGKILL);
+    deployment.Await(daemon);
+  }
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    deployment.StartDaemon(daemon);
+  }
+  // A quarter of the users' bound of 15 s.
+  const auto took = TimeUntil(deployment, {.key = 7}, 200);
+  REQUIRE(took.has_value());
+  CHECK(took->count() < 3750);
+  CHECK(deployment.soil[owner]->Holds(7));
+}
