--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -12,8 +12,6 @@
 constexpr double kColdFactor = 2.0;
 // How much a failed answer is held to cost against one that is served.
 constexpr double kFailureFactor = 8.0;
-// Crossing failure domains costs bytes and a little time.
-constexpr double kOtherDomainFactor = 1.1;
 
 }  // namespace
 
@@ -39,7 +37,8 @@
     const double expected_s = ExpectedAnswerSeconds(endpoint, mean_s, request.now);
     const double busy = 1 + static_cast<double>(endpoint.load()) /
                                 static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
-    const double domain = endpoint.entry.domain == request.domain ? 1.0 : kOtherDomainFactor;
+    const double domain =
+        endpoint.entry.domain == request.domain ? 1.0 : request.other_domain_factor;
     const double cost = expected_s * busy * domain * (1 + kFailureFactor * endpoint.failure_share);
     const bool avoided = request.now < endpoint.avoid_until ||
                          request.domains.IsSilent(endpoint.entry.domain, request.now);
--- a/src/core/endpoint_choice.h
+++ b/src/core/endpoint_choice.h
@@ -14,6 +14,9 @@
   DomainName domain;
   // Endpoints that have already been tried for this request.
   std::set<InstanceId> tried;
+  // How much longer an answer from the daemon's own domain may take before another
+  // domain is chosen: bytes between domains are paid for.
+  double other_domain_factor = 1.2;
   // Which failure domains seem to be out of reach.
   const DomainWatch& domains;
   Instant now;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -23,6 +23,14 @@
 // An endpoint that is down is replaced as owner within seconds.
 constexpr std::chrono::milliseconds kRetryAfterUnreachable{800};
 
+// Uploads carry most of the bytes, and their aims leave time to wait a little.
+constexpr double kOtherDomainFactorOfUploads = 2.0;
+constexpr double kOtherDomainFactor = 1.2;
+
+double OtherDomainFactor(RequestKind kind) {
+  return kind == RequestKind::kUpload ? kOtherDomainFactorOfUploads : kOtherDomainFactor;
+}
+
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
@@ -81,7 +89,8 @@
     return;
   }
   const auto choice = context_.chooser.Choose(
-      context_.fleet, ChoiceRequest{service_, context_.domain, tried_, context_.domains, now});
+      context_.fleet, ChoiceRequest{service_, context_.domain, tried_,
+                                    OtherDomainFactor(route_->kind), context_.domains, now});
   if (!choice) {
     Refuse("no endpoint", kRetryAfterNoEndpoint, now);
     return;
--- a/tests/core/routing_test.cc
+++ b/tests/core/routing_test.cc
@@ -158,7 +158,7 @@
     }
     const DomainWatch domains;
     const auto choice = ShortestAnswerChooser{}.Choose(
-        fleet, {ServiceName{"pumps"}, DomainName{"north"}, {}, domains, kStart});
+        fleet, {ServiceName{"pumps"}, DomainName{"north"}, {}, 1.2, domains, kStart});
     REQUIRE(choice.has_value());
     CHECK(choice->endpoint.value() == row.expected);
   }
@@ -175,7 +175,8 @@
   fleet.Put(MakeEndpoint("tried"), kStart);
   const DomainWatch domains;
   const auto choice = ShortestAnswerChooser{}.Choose(
-      fleet, {ServiceName{"pumps"}, DomainName{"north"}, {InstanceId{"tried"}}, domains, kStart});
+      fleet,
+      {ServiceName{"pumps"}, DomainName{"north"}, {InstanceId{"tried"}}, 1.2, domains, kStart});
   CHECK_FALSE(choice.has_value());
 }
 
@@ -254,3 +255,29 @@
   }
   CHECK_FALSE(DomainWatch{}.IsSilent(DomainName{"never heard"}, kStart));
 }
+
+TEST_CASE("another domain is chosen only where it is faster by the factor") {
+  struct Row {
+    std::string name;
+    milliseconds own;
+    milliseconds other;
+    double factor;
+    std::string expected;
+  };
+  const Row rows[] = {{"equal", milliseconds{100}, milliseconds{100}, 1.2, "own"},
+                      {"a little slower", milliseconds{110}, milliseconds{100}, 1.2, "own"},
+                      {"much slower", milliseconds{150}, milliseconds{100}, 1.2, "other"},
+                      {"much slower, many bytes", milliseconds{150}, milliseconds{100}, 2, "own"}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    fleet.Put(MakeEndpoint("own", "north"), kStart);
+    fleet.Put(MakeEndpoint("other", "south"), kStart);
+    Teach(fleet, "own", row.own, 10);
+    Teach(fleet, "other", row.other, 10);
+    const DomainWatch domains;
+    const auto choice = ShortestAnswerChooser{}.Choose(
+        fleet, {ServiceName{"pumps"}, DomainName{"north"}, {}, row.factor, domains, kStart});
+    CHECK(choice->endpoint.value() == row.expected);
+  }
+}
