--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -8,6 +8,7 @@
 
 #include "core/key_leader.h"
 #include "core/key_routes.h"
+#include "core/unserved_keys.h"
 #include "log/log.h"
 #include "net/connection_pool.h"
 #include "router/daemon_message.h"
@@ -53,7 +54,7 @@
   void StepDown() { leader_.StepDown(); }
 
   const KeyRoutes& routes() const { return routes_; }
-  const KeyLeader& leader() const { return leader_; }
+  UnservedKeys& unserved() { return unserved_; }
   // What is to be announced to all others; empty while nothing is. The factor
   // stretches the times between announcements where there are many daemons.
   std::vector<AnnouncementPart> TakeAnnouncements(std::size_t factor, Instant now);
@@ -81,6 +82,7 @@
   const OrderFormat& format_;
   KeyLeader leader_;
   KeyRoutes routes_;
+  UnservedKeys unserved_;
   // The record as the store holds it, and the revision of its head.
   RecordTexts stored_;
   Revision stored_revision_;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -12,12 +12,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{120};
-// The part of the aim for which a request may wait for its key's owner.
-constexpr int kOwnerWaitPart = 8;
+// The share of the aim for which a request may wait for its key's next owner.
+constexpr double kOwnerWaitShare = 0.4;
 // What is kept back of the caller's time for the answer's way.
 constexpr std::chrono::milliseconds kWayBack{10};
 constexpr std::chrono::milliseconds kRetryAfterNoConfig{300};
-constexpr std::chrono::milliseconds kRetryAfterNoOwner{150};
 constexpr std::chrono::milliseconds kRetryAfterNoEndpoint{300};
 constexpr std::chrono::milliseconds kRetryAfterDeclined{100};
 // An endpoint that is down is replaced as owner within seconds.
@@ -130,13 +129,19 @@
 }
 
 void RequestRelay::WaitForOwner(Instant now) {
+  if (!context_.keys.IsWorthWaiting(service_, *facts_.key, now)) {
+    Refuse("key without owner", kRetryAfterUnreachable, now);
+    return;
+  }
   if (state_ != State::kWaitingForOwner) {
     state_ = State::kWaitingForOwner;
     waiting_since_ = now;
     return;
   }
-  if (now - waiting_since_ >= route_->aim / kOwnerWaitPart) {
-    Refuse("key without owner", kRetryAfterNoOwner, now);
+  const auto patience = std::chrono::duration_cast<Duration>(route_->aim * kOwnerWaitShare);
+  if (now - waiting_since_ >= patience) {
+    context_.keys.ReportUnserved(service_, *facts_.key, now);
+    Refuse("no owner came", kRetryAfterUnreachable, now);
   }
 }
 
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -497,6 +497,18 @@
   return found == keys_.end() ? std::nullopt : found->second->routes().OwnerOf(key, now);
 }
 
+bool RoutingDaemon::IsWorthWaiting(const ServiceName& service, KeyNumber key, Instant now) const {
+  const auto found = keys_.find(service);
+  return found != keys_.end() && !found->second->unserved().Contains(key, now);
+}
+
+void RoutingDaemon::ReportUnserved(const ServiceName& service, KeyNumber key, Instant now) {
+  const auto found = keys_.find(service);
+  if (found != keys_.end()) {
+    found->second->unserved().Add(key, now);
+  }
+}
+
 void RoutingDaemon::CountRequest(const ServiceName& service, KeyNumber key) {
   const auto found = keys_.find(service);
   if (found != keys_.end()) {
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -47,6 +47,8 @@
   void TakeStoreState(bool reachable, const std::string& reason) override;
   std::optional<InstanceId> OwnerOf(const ServiceName& service, KeyNumber key,
                                     Instant now) const override;
+  bool IsWorthWaiting(const ServiceName& service, KeyNumber key, Instant now) const override;
+  void ReportUnserved(const ServiceName& service, KeyNumber key, Instant now) override;
   void CountRequest(const ServiceName& service, KeyNumber key) override;
   void ReportDenial(const ServiceName& service, KeyNumber key, const InstanceId& endpoint) override;
 
--- a/tests/core/key_placement_test.cc
+++ b/tests/core/key_placement_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/key_routes.h"
+#include "core/unserved_keys.h"
 
 using namespace sycamorestall;  // NOLINT
 
@@ -210,3 +211,13 @@
   routes.TakeRecord(record);
   CHECK(routes.OwnerOf(5, later(20)) == InstanceId{"next"});
 }
+
+TEST_CASE("a key that was waited for in vain is not waited for again at once") {
+  const Instant start{std::chrono::seconds{100}};
+  UnservedKeys keys;
+  CHECK_FALSE(keys.Contains(5, start));
+  keys.Add(5, start);
+  CHECK(keys.Contains(5, start + std::chrono::milliseconds{300}));
+  CHECK_FALSE(keys.Contains(6, start));
+  CHECK_FALSE(keys.Contains(5, start + std::chrono::milliseconds{500}));
+}
