--- a/src/core/key_demand.cc
+++ b/src/core/key_demand.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // After this time a request counts for 1/e.
-constexpr double kMemorySeconds = 1.5;
+constexpr double kMemorySeconds = 2.0;
 // Keys asked for less often than this are forgotten.
 constexpr double kForgottenRate = 0.02;
 
@@ -29,6 +29,8 @@
   }
 }
 
+double KeyDemand::Samples(double rate) { return rate * kMemorySeconds; }
+
 double KeyDemand::Rate(KeyNumber key) const {
   const auto found = rates_.find(key);
   return found == rates_.end() ? 0 : found->second;
--- a/src/core/key_demand.h
+++ b/src/core/key_demand.h
@@ -30,6 +30,8 @@
   // Lets the demand age.
   void Age(Instant now);
 
+  // How many requests a rate has been worked out from, about.
+  static double Samples(double rate);
   // Requests a second for one key, and for all of a range.
   double Rate(KeyNumber key) const;
   double Rate(const KeyRange& range) const;
--- a/src/core/key_placement.cc
+++ b/src/core/key_placement.cc
@@ -1,6 +1,7 @@
 #include "core/key_placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 
@@ -10,8 +11,10 @@
 
 // Moves of one plan.
 constexpr std::size_t kMaxMoves = 12;
-// An endpoint above this multiple of the mean load gives keys away.
-constexpr double kTooBusy = 1.15;
+// An endpoint above this multiple of the mean load gives keys away, if its load were
+// known exactly; so many standard deviations of it are taken for chance.
+constexpr double kTooBusy = 1.1;
+constexpr double kNoise = 2.0;
 // Below this load, in requests a second against the mean capacity, nothing is
 // worth a move.
 constexpr double kIdleRate = 4.0;
@@ -66,7 +69,7 @@
     std::vector<InstanceId> finished;
     while (moves_.size() < kMaxMoves) {
       Bin* busiest = Busiest(finished);
-      if (busiest == nullptr || busiest->load() <= kTooBusy * MeanLoad()) {
+      if (busiest == nullptr || busiest->load() <= TooBusy(*busiest) * MeanLoad()) {
         break;
       }
       if (!MoveOnePiece(*busiest)) {
@@ -79,6 +82,13 @@
  private:
   double MeanLoad() const { return rate_ / capacity_; }
 
+  // The multiple of the mean load above which an endpoint gives keys away. Few
+  // requests vary by chance, and moving keys for that would only take them from
+  // their callers.
+  static double TooBusy(const Bin& bin) {
+    return kTooBusy + kNoise / std::sqrt(std::max(1.0, KeyDemand::Samples(bin.rate)));
+  }
+
   Bin* Busiest(const std::vector<InstanceId>& finished) {
     Bin* busiest = nullptr;
     for (auto& [id, bin] : bins_) {
--- a/tests/core/key_placement_test.cc
+++ b/tests/core/key_placement_test.cc
@@ -221,3 +221,27 @@
   CHECK_FALSE(keys.Contains(6, start));
   CHECK_FALSE(keys.Contains(5, start + std::chrono::milliseconds{500}));
 }
+
+TEST_CASE("demand that varies by chance moves no keys") {
+  constexpr int kRounds = 40;
+  constexpr int kRequestsPerRound = 200;
+  const std::vector<KeyTarget> targets = Endpoints(std::vector<double>(12, 6.0));
+  const std::vector<OwnedRange> owned = Owned(EvenRanges(targets));
+  std::mt19937 random{11};
+  KeyDemand demand;
+  Instant now{std::chrono::seconds{10}};
+  demand.Age(now);
+  std::size_t moves = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    now += std::chrono::milliseconds{500};
+    demand.Age(now);
+    std::vector<KeyCount> counts;
+    for (int i = 0; i < kRequestsPerRound; ++i) {
+      counts.push_back({static_cast<KeyNumber>(random() % kKeyCount), 1});
+    }
+    demand.Add(counts);
+    moves += DensePiecePlacement{}.Plan(owned, demand, targets).size();
+  }
+  // One endpoint in twenty rounds, by chance.
+  CHECK(moves <= kRounds / 20);
+}
