--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -96,6 +96,7 @@
   }
   const EndpointState* endpoint = context_.fleet.Find(choice->endpoint);
   const AdmissionVerdict verdict = Admit(*endpoint, choice->expected_s, Place(now));
+  NoteInputs(*endpoint, choice->expected_s, now);
   if (!verdict.admitted) {
     Refuse("endpoints full", verdict.retry_after, now);
     return;
@@ -103,6 +104,18 @@
   Send(*endpoint, now);
 }
 
+void RequestRelay::NoteInputs(const EndpointState& endpoint, double expected_s, Instant now) {
+  if (!context_.log.Enabled(LogLevel::kInfo)) {
+    return;
+  }
+  const Duration expected =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expected_s));
+  inputs_ = " considered=" + endpoint.entry.id.value() +
+            " load=" + std::to_string(endpoint.in_flight) + "+" +
+            std::to_string(endpoint.peers_in_flight) + "/" + std::to_string(endpoint.entry.slots) +
+            " expected_ms=" + Milliseconds(expected) + " left_ms=" + Milliseconds(TimeLeft(now));
+}
+
 PlaceRequest RequestRelay::Place(Instant now) const {
   return {TimeLeft(now), route_->priority, context_.daemons};
 }
@@ -121,6 +134,7 @@
   const double expected_s =
       ExpectedAnswerSeconds(*endpoint, context_.fleet.MeanServiceSeconds(service_), now);
   const AdmissionVerdict verdict = Admit(*endpoint, expected_s, Place(now));
+  NoteInputs(*endpoint, expected_s, now);
   if (!verdict.admitted) {
     Refuse("owner full", verdict.retry_after, now);
     return;
@@ -343,7 +357,10 @@
   if (facts_.key) {
     line += " key=" + std::to_string(*facts_.key);
   }
-  context_.log.Info(line);
+  if (routes_) {
+    line += " config=" + std::to_string(routes_->config().version);
+  }
+  context_.log.Info(line + inputs_);
 }
 
 }  // namespace sycamorestall
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -69,6 +69,7 @@
                  Instant now);
   void Abandon();
   void EndAttempt(EndpointEvidence evidence, Instant now);
+  void NoteInputs(const EndpointState& endpoint, double expected_s, Instant now);
   void LogOutcome(unsigned status, const std::string& reason, Instant now);
   bool IsSafe() const { return route_->kind == RequestKind::kSafe; }
   Duration TimeLeft(Instant now) const;
@@ -96,6 +97,8 @@
   int arrivals_ = 0;
   bool may_have_run_ = false;
   bool finished_ = false;
+  // What the latest decision went by, for the log.
+  std::string inputs_;
 };
 
 }  // namespace sycamorestall
