Stop sending to leaving owners whose keys do not move; replace a leader without the store

Change: owners that leave get requests for 1 s only (core test); a daemon that has not reached the store for 0.6 s says so, and another one leads (1.8 s after the loss; 2.8 s before). A later leader's announcement ends an earlier lead.

--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -13,9 +13,16 @@
 // with each further time.
 constexpr std::chrono::milliseconds kFirstAvoidance{300};
 constexpr std::uint32_t kMaxDoublings = 4;
+// Endpoints must get nothing 2 s after the store was told that they leave, of which
+// up to 0.8 s pass before that is heard.
+constexpr std::chrono::milliseconds kLeavingGrace{1000};
 
 }  // namespace
 
+bool EndpointState::TakesOwnedKeys(Instant now) const {
+  return !leaving_since || now - *leaving_since < kLeavingGrace;
+}
+
 double EndpointState::rounds() const {
   const auto slots = static_cast<double>(std::max<std::size_t>(entry.slots, 1));
   return std::max(1.0, (static_cast<double>(load()) + 1) / slots);
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -42,6 +42,10 @@
 
   // Requests of all daemons that it has.
   std::size_t load() const { return in_flight + peers_in_flight; }
+  // Whether requests for keys that it owns may go there. One that leaves is sent
+  // requests for a moment only, while its keys move; not longer, even if they do
+  // not, as when their leader does not hear of it.
+  bool TakesOwnedKeys(Instant now) const;
   // How many times its slots one request more would fill, at least 1.
   double rounds() const;
 };
--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -574,6 +574,13 @@
   }
 }
 
+void KeyLeader::HearTerm(Term term) {
+  if (leading() && term > record_.term) {
+    Explain("follow: a later leader is heard term=" + std::to_string(term.value));
+    Follow();
+  }
+}
+
 void KeyLeader::TakeDemand(const std::vector<KeyCount>& counts) { demand_.Add(counts); }
 
 std::optional<InstanceId> KeyLeader::LeastLoaded(const std::vector<KeyTarget>& targets,
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -52,7 +52,7 @@
   // Daemons that hold a lease, this one included, with how much each can do: the
   // strongest are the first to lead.
   std::map<InstanceId, double> daemons;
-  // Other daemons whose messages came lately.
+  // Other daemons whose messages came lately and that reach the store.
   std::set<InstanceId> heard;
 };
 
@@ -115,6 +115,8 @@
   // The leader stops while the store is away and asks this daemon to renew its
   // grants. The moment is when the leader last heard the store.
   void TakeHandOver(const OwnershipRecord& record, Instant confirmed_at, Instant now);
+  // Another daemon announces keys under this term; a higher one ends this lead.
+  void HearTerm(Term term);
   // Requests for keys, counted by this daemon or another.
   void TakeDemand(const std::vector<KeyCount>& counts);
   // Runs what time and the list bring about.
--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -33,8 +33,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, DaemonMessage& message) {
-  archive(message.sender, message.domain, message.stopping, message.loads, message.demands,
-          message.announcements, message.denials, message.hand_overs);
+  archive(message.sender, message.domain, message.stopping, message.without_store, message.loads,
+          message.demands, message.announcements, message.denials, message.hand_overs);
 }
 
 std::string EncodeMessage(const DaemonMessage& message) {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -68,6 +68,8 @@
   DomainName domain;
   // Whether the sender is about to end.
   bool stopping = false;
+  // Whether the sender has not reached the store for a while.
+  bool without_store = false;
   std::vector<EndpointLoad> loads;
   std::vector<ServiceDemand> demands;
   std::vector<AnnouncementPart> announcements;
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -84,6 +84,8 @@
 }
 
 void KeyService::TakeAnnouncement(const AnnouncementPart& part, Instant now) {
+  leader_.HearTerm(part.term);
+  RunActions();
   const bool newer = part.term > partial_.term ||
                      (part.term == partial_.term && part.sequence > partial_.sequence);
   if (newer) {
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -123,7 +123,7 @@
 void RequestRelay::OfferToOwner(Instant now) {
   const auto owner = context_.keys.OwnerOf(service_, *facts_.key, now);
   const EndpointState* endpoint = owner ? context_.fleet.Find(*owner) : nullptr;
-  if (endpoint == nullptr || tried_.contains(*owner)) {
+  if (endpoint == nullptr || tried_.contains(*owner) || !endpoint->TakesOwnedKeys(now)) {
     WaitForOwner(now);
     return;
   }
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kFewDaemons = 6;
 constexpr std::chrono::milliseconds kUnregisteredPeerLife{10000};
 constexpr std::chrono::milliseconds kPeerLoadLife{1000};
+// A daemon that has not reached the store for so long says so: it cannot lead.
+constexpr std::chrono::milliseconds kStoreLoss{600};
 // A datagram may be lost.
 constexpr int kHandOverCopies = 2;
 // After a stop begins, callers' new connections still come for so long.
@@ -193,7 +195,8 @@
     view.daemons[id] = daemon.weight;
   }
   for (const auto& [id, peer] : peer_loads_) {
-    if (now - peer.heard_at < kPeerLoadLife && view.daemons.contains(id)) {
+    const bool heard = now - peer.heard_at < kPeerLoadLife && !peer.without_store;
+    if (heard && view.daemons.contains(id)) {
       view.heard.insert(id);
     }
   }
@@ -241,6 +244,7 @@
     }
   }
   message.stopping = stopping_since_.has_value();
+  message.without_store = mirror_.IsLostFor(kStoreLoss, now);
   message.denials = std::exchange(denials_, {});
   if (now < next_gossip_ && message.denials.empty()) {
     return;
@@ -312,7 +316,7 @@
   const bool periodic = !message.loads.empty() || !message.demands.empty();
   if (periodic) {
     domains_.HearDaemon(message.domain, GossipInterval(), now);
-    peer_loads_[message.sender] = {now, message.stopping, message.loads};
+    peer_loads_[message.sender] = {now, message.stopping, message.without_store, message.loads};
   }
   for (const ServiceDemand& demand : message.demands) {
     const auto service = keys_.find(demand.service);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -105,6 +105,7 @@
   struct PeerLoad {
     Instant heard_at;
     bool stopping = false;
+    bool without_store = false;
     std::vector<EndpointLoad> loads;
   };
   std::map<InstanceId, PeerLoad> peer_loads_;
--- a/src/store/store_mirror.cc
+++ b/src/store/store_mirror.cc
@@ -82,6 +82,7 @@
   ++failures_;
   if (reachable_) {
     reachable_ = false;
+    lost_since_ = now;
     observer_.TakeStoreState(false, error.message());
   }
 }
--- a/src/store/store_mirror.h
+++ b/src/store/store_mirror.h
@@ -33,6 +33,10 @@
   bool reachable() const { return reachable_; }
   // Since when it has been reachable without a break.
   Instant reachable_since() const { return reachable_since_; }
+  // Whether it has not been reachable for the given time or longer.
+  bool IsLostFor(Duration time, Instant now) const {
+    return !reachable_ && now - lost_since_ >= time;
+  }
   // Whether the contents were read at least once.
   bool loaded() const { return revision_.value != 0; }
   Revision revision() const { return revision_; }
@@ -53,6 +57,7 @@
   Instant next_call_;
   Instant confirmed_at_;
   Instant reachable_since_;
+  Instant lost_since_;
   std::uint32_t failures_ = 0;
 };
 
--- a/tests/core/routing_test.cc
+++ b/tests/core/routing_test.cc
@@ -281,3 +281,27 @@
     CHECK(choice->endpoint.value() == row.expected);
   }
 }
+
+TEST_CASE("an owner that leaves is sent requests for a moment only") {
+  struct Row {
+    std::string name;
+    bool draining;
+    int later_ms;
+    bool takes;
+  };
+  const Row rows[] = {{"stays", false, 5000, true},
+                      {"leaves, keys on their way", true, 900, true},
+                      {"leaves, keys not moved", true, 1100, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    EndpointEntry entry = MakeEndpoint("a");
+    fleet.Put(entry, kStart);
+    entry.draining = row.draining;
+    fleet.Put(entry, kStart);
+    // Later entries of the same endpoint do not begin the time anew.
+    const Instant now = kStart + milliseconds{row.later_ms};
+    fleet.Put(entry, now);
+    CHECK(fleet.Find(InstanceId{"a"})->TakesOwnedKeys(now) == row.takes);
+  }
+}
