--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -117,7 +117,8 @@
 }
 
 PlaceRequest RequestRelay::Place(Instant now) const {
-  return {TimeLeft(now), route_->priority, context_.daemons};
+  // Where any endpoint will do, choosing spreads the load already.
+  return {TimeLeft(now), route_->priority, keyed_ ? context_.daemons : 1};
 }
 
 void RequestRelay::OfferToOwner(Instant now) {
