--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -38,6 +38,9 @@
   void Run();
 
  private:
+  // For how long what another daemon said of itself is taken to hold.
+  static constexpr std::chrono::milliseconds kPeerLoadLife{1000};
+
   class Callers;
   class Readiness;
   class MetricsPage;
--- a/tests/fakes/key_value_store.cc
+++ b/tests/fakes/key_value_store.cc
@@ -1,33 +1,20 @@
 #include "fakes/key_value_store.h"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <nlohmann/json.hpp>
 
 #include "clock/system_clock.h"
 #include "fakes/json_answer.h"
+#include "net/base64.h"
 
 namespace sycamorestall::fakes {
 
 namespace {
 
-namespace base64 = boost::beast::detail::base64;
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kTick{5};
 
-std::string Encode(const std::string& value) {
-  std::string text(base64::encoded_size(value.size()), '\0');
-  text.resize(base64::encode(text.data(), value.data(), value.size()));
-  return text;
-}
-
-std::string Decode(const std::string& text) {
-  std::string value(base64::decoded_size(text.size()), '\0');
-  value.resize(base64::decode(value.data(), text.data(), text.size()).first);
-  return value;
-}
-
 std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
   const std::size_t at = target.find(name + "=");
   return at == std::string::npos ? 0 : std::stoull(target.substr(at + name.size() + 1));
@@ -172,7 +159,7 @@
   json items = json::array();
   for (const auto& [key, item] : items_) {
     items.push_back({{"key", key},
-                     {"value", Encode(item.value)},
+                     {"value", EncodeBase64(item.value)},
                      {"revision", item.revision},
                      {"lease", item.lease}});
   }
@@ -201,7 +188,7 @@
     if (event.removed) {
       row["removed"] = true;
     } else {
-      row["value"] = Encode(event.item.value);
+      row["value"] = EncodeBase64(event.item.value);
     }
     events.push_back(std::move(row));
   }
@@ -225,7 +212,8 @@
   ++revision_;
   for (const json& row : body.at("puts")) {
     const std::uint64_t lease = row.value("lease", std::uint64_t{0});
-    Write(row.at("key").get<std::string>(), Decode(row.at("value").get<std::string>()), lease);
+    Write(row.at("key").get<std::string>(), DecodeBase64(row.at("value").get<std::string>()),
+          lease);
   }
   if (trouble_ != StoreTrouble::kAnswersLost) {
     AnswerJson(exchange, 200, {{"revision", revision_}});
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "platform/directory_format.h"
+#include "platform/request_format.h"
 #include "router/daemon_message.h"
 #include "router/record_codec.h"
 
@@ -123,3 +124,23 @@
     CHECK_FALSE(DecodeMessage(bytes.substr(0, size)).has_value());
   }
 }
+
+TEST_CASE("headers that the daemon sets are not taken from callers, however they are spelt") {
+  HttpRequest request{boost::beast::http::verb::get, "/x/1?a=b", 11};
+  request.set("Host", "h.example");
+  request.set("X-Request-Id", "a");
+  request.set("x-deadline-ms", "99999");
+  request.set("X-EXPECT-INSTANCE", "i-other");
+  request.set("Connection", "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-End", "kept");
+  const std::string head = platform::PlatformRequestFormat{}.WriteRequest(
+      request, 0, InstanceId{"i-1"}, std::chrono::milliseconds{250});
+  CHECK(head.starts_with("GET /x/1?a=b HTTP/1.1\r\n"));
+  CHECK(head.find("99999") == std::string::npos);
+  CHECK(head.find("i-other") == std::string::npos);
+  CHECK(head.find("X-Hop") == std::string::npos);
+  CHECK(head.find("X-End: kept\r\n") != std::string::npos);
+  CHECK(head.find("X-Deadline-Ms: 250\r\n") != std::string::npos);
+  CHECK(head.find("X-Expect-Instance: i-1\r\n") != std::string::npos);
+}
