--- a/src/core/key_leader_placement.cc
+++ b/src/core/key_leader_placement.cc
@@ -43,7 +43,7 @@
     const double speed = each->service_s > 0 && mean_s > 0
                              ? std::clamp(mean_s / each->service_s, kMinSpeed, kMaxSpeed)
                              : 1.0;
-    targets.push_back({each->entry.id, static_cast<double>(each->entry.slots) * speed, false});
+    targets.push_back({each->entry.id, static_cast<double>(each->entry.slots) * speed});
   }
   return targets;
 }
--- a/src/core/key_placement.h
+++ b/src/core/key_placement.h
@@ -12,8 +12,6 @@
   InstanceId id;
   // How much it can do, against others of its service.
   double capacity = 1;
-  // Whether it serves nothing yet.
-  bool is_new = false;
 };
 
 // Keys that are to change their owner.
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -18,7 +18,6 @@
 
 // What all requests of a daemon share.
 struct RelayContext {
-  InstanceId self;
   DomainName domain;
   EndpointFleet& fleet;
   DomainWatch& domains;
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -58,7 +58,7 @@
   void TakeItem(const StoreItem& item, Instant now);
   void TakeRecordItem(const StoreItem& item);
   void FinishItems(Instant now);
-  void RemoveItem(const std::string& key, Instant now);
+  void RemoveItem(const std::string& key);
   void TakeConfig(const std::string& text);
   void AddKeyServices();
   void TakeMessage(const DaemonMessage& message);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -42,7 +42,7 @@
   const Instant now = BootNow();
   for (const StoreEvent& event : changes.events) {
     if (event.removed) {
-      RemoveItem(event.item.key, now);
+      RemoveItem(event.item.key);
     } else {
       TakeItem(event.item, now);
     }
@@ -94,7 +94,7 @@
   }
 }
 
-void RoutingDaemon::RemoveItem(const std::string& key, Instant now) {
+void RoutingDaemon::RemoveItem(const std::string& key) {
   if (formats_.directory.IsEndpoint(key)) {
     const InstanceId id = formats_.directory.EndpointOf(key);
     log_.Info("endpoint gone id=" + id.value());
@@ -104,7 +104,6 @@
     log_.Info("daemon gone key=" + key);
     registry_.Remove(key);
   }
-  static_cast<void>(now);
 }
 
 void RoutingDaemon::TakeConfig(const std::string& text) {
--- a/tests/core/key_placement_test.cc
+++ b/tests/core/key_placement_test.cc
@@ -17,7 +17,7 @@
 std::vector<KeyTarget> Endpoints(const std::vector<double>& capacities) {
   std::vector<KeyTarget> targets;
   for (std::size_t i = 0; i < capacities.size(); ++i) {
-    targets.push_back({InstanceId{"e" + std::to_string(i)}, capacities[i], false});
+    targets.push_back({InstanceId{"e" + std::to_string(i)}, capacities[i]});
   }
   return targets;
 }
