--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -155,17 +155,19 @@
   const std::lock_guard lock{mutex_};
   const std::string target{exchange->request().target()};
   const std::string expected = Value(*exchange, "X-Expect-Instance");
-  if (!expected.empty() && expected != id_) {
+  const bool is_foreign = !expected.empty() && expected != id_;
+  const bool is_order = target == "/v1/grant" || target == "/v1/release";
+  const bool is_full = !is_order && trouble_ == EndpointTrouble::kFull;
+  const auto key = static_cast<KeyNumber>(std::stoul("0" + Value(*exchange, "X-Shard-Key")));
+  const bool is_not_held = owns_keys_ && !is_order && !is_full && !HoldsNow(key);
+  if (is_foreign || is_not_held) {
     Refuse(*exchange, 421);
+  } else if (is_full) {
+    Refuse(*exchange, 503);
   } else if (target == "/v1/grant") {
     TakeGrant(*exchange);
   } else if (target == "/v1/release") {
     TakeRelease(*exchange);
-  } else if (trouble_ == EndpointTrouble::kFull) {
-    Refuse(*exchange, 503);
-  } else if (owns_keys_ &&
-             !HoldsNow(static_cast<KeyNumber>(std::stoul("0" + Value(*exchange, "X-Shard-Key"))))) {
-    Refuse(*exchange, 421);
   } else {
     ++runs_[Value(*exchange, "X-Request-Id")];
     work_.push_back({std::move(exchange), BootNow() + work_time_});
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -64,7 +64,9 @@
   if (error) {
     return std::nullopt;
   }
-  const timeval patience{patience_ms / 1000, (patience_ms % 1000) * 1000};
+  const auto whole = std::chrono::seconds{patience_ms / 1000};
+  const std::chrono::microseconds rest = std::chrono::milliseconds{patience_ms} - whole;
+  const timeval patience{whole.count(), rest.count()};
   setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
   beast_http::write(socket, request, error);
   beast::flat_buffer buffer;
