Look for daemons' log lines where they are written now

Cause: with log lines on standard output, a check that the log level holds compared two empty files. It reads the right file again, and that the log is not empty is checked.

--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -416,7 +416,8 @@
 }
 
 std::string Deployment::LogOf(const std::string& name) const {
-  return ReadFile(folder_ + "/" + name + ".log");
+  // Daemons log to standard output.
+  return ReadFile(folder_ + "/" + name + ".out");
 }
 
 }  // namespace sycamorestall::testing
--- a/tests/process/path_test.cc
+++ b/tests/process/path_test.cc
@@ -251,6 +251,7 @@
   CHECK(level(R"({"level":"error"})") == 200);
   std::this_thread::sleep_for(std::chrono::milliseconds{300});
   const std::size_t before = deployment.LogOf(deployment.DaemonNames().front()).size();
+  CHECK(before > 0U);
   CHECK(deployment.TimeUntilServed("soil", "b", origin) < std::chrono::seconds{5});
   std::this_thread::sleep_for(std::chrono::milliseconds{300});
   CHECK(deployment.LogOf(deployment.DaemonNames().front()).size() == before);
