Serve the own interface by the one HTTP engine; Pistache and libcurl leave

Ruled out: keeping Pistache for the own interface only; it needs its own framing and cannot answer pipelined requests by itself. A call that is given up for time has a verdict of its own (was: broken).

--- a/src/app/caller_request.cc
+++ b/src/app/caller_request.cc
@@ -7,6 +7,7 @@
 
 #include "core/shard_map.h"
 #include "http/status.h"
+#include "http/url.h"
 
 namespace sycamorestall {
 
--- a/src/app/endpoint_client.cc
+++ b/src/app/endpoint_client.cc
@@ -6,6 +6,7 @@
 #include "app/caller_request.h"
 #include "endpoint/order_json.h"
 #include "http/status.h"
+#include "http/url.h"
 
 namespace sycamorestall {
 
--- a/src/app/http_frontend.cc
+++ b/src/app/http_frontend.cc
@@ -9,6 +9,7 @@
 #include "app/daemon.h"
 #include "app/explain.h"
 #include "http/status.h"
+#include "http/url.h"
 
 namespace sycamorestall {
 
@@ -32,7 +33,6 @@
   http::ServerSettings server;
   server.host = settings.http.host;
   server.port = settings.http.port;
-  server.workers = settings.http_workers;
   server.max_body_bytes = kMostDocumentBytes;
   for (const auto& [name, service] : settings.services) {
     server.max_body_bytes = std::max(server.max_body_bytes, service.max_body_bytes);
@@ -76,25 +76,13 @@
   return Error(status, "malformed-request", why);
 }
 
-std::optional<http::Response> HttpFrontend::CheckHead(const http::Request& head,
-                                                      std::uint64_t body_bytes) {
-  if (!head.path.starts_with(kServices)) {
-    if (body_bytes > kMostDocumentBytes) {
-      return Error(http::kTooLarge, "body-too-large", "the body must be at most 1048576 bytes");
-    }
-    return std::nullopt;
-  }
-  auto parsed = ParseCallerRequest(head, body_bytes, daemon_.settings());
-  auto* refusal = std::get_if<Answer>(&parsed);
-  // A refusal of a request without a body leaves the connection usable.
-  if (refusal == nullptr || body_bytes == 0) {
-    return std::nullopt;
-  }
-  return MakeResponse(std::move(*refusal));
-}
-
 void HttpFrontend::Handle(http::Request request, http::Responder responder) {
   if (!request.path.starts_with(kServices)) {
+    if (request.body.size() > kMostDocumentBytes) {
+      responder.Send(
+          Error(http::kTooLarge, "body-too-large", "the body must be at most 1048576 bytes"));
+      return;
+    }
     daemon_.loop().Post(
         [this, request = std::move(request), responder] { Operate(request, responder); });
     return;
--- a/src/app/http_frontend.h
+++ b/src/app/http_frontend.h
@@ -11,7 +11,7 @@
 enum class DocumentKind;
 
 // The daemon's HTTP side: callers' requests go to the ingress, the rest is the
-// operators' interface. Checks forms on the server's workers and posts
+// operators' interface. Checks forms on the server's thread and posts
 // everything else to the loop.
 class HttpFrontend : public http::RequestHandler {
  public:
@@ -20,8 +20,6 @@
   void Start() { server_.Start(); }
   void Stop() { server_.Stop(); }
 
-  std::optional<http::Response> CheckHead(const http::Request& head,
-                                          std::uint64_t body_bytes) override;
   void Handle(http::Request request, http::Responder responder) override;
   void CallerLeft(std::uint64_t number) override;
   http::Response Malformed(std::uint16_t status, const std::string& why) override;
--- a/src/app/operator_client.cc
+++ b/src/app/operator_client.cc
@@ -15,6 +15,7 @@
 #include "core/uuid_v7.h"
 #include "http/http_client.h"
 #include "http/status.h"
+#include "http/url.h"
 
 namespace sycamorestall {
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -56,7 +56,6 @@
   DomainName domain;
   NetworkAddress http;
   NetworkAddress peer;
-  int http_workers = 0;
   // Requests in flight at this daemon, all ranks together.
   std::size_t max_in_flight = 0;
   std::string platform;
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -20,7 +20,6 @@
   settings.domain = DomainName{CheckedName(reader, "domain")};
   settings.http = ParseAddress(reader, "http");
   settings.peer = ParseAddress(reader, "peer");
-  settings.http_workers = static_cast<int>(reader.Number("http_workers", {1, 64}, 2));
   settings.max_in_flight =
       static_cast<std::size_t>(reader.Number("max_in_flight", {1, kMostRequests}, 4000));
   settings.allow_faults = reader.Flag("allow_faults", false);
--- a/src/http/client_error.cc
+++ b/src/http/client_error.cc
@@ -19,8 +19,6 @@
         return "no answer in time";
       case ClientError::kBroken:
         return "the connection broke";
-      case ClientError::kBadAnswer:
-        return "the answer was cut short or too large";
       case ClientError::kStopped:
         return "the client was stopped";
     }
--- a/src/http/client_error.h
+++ b/src/http/client_error.h
@@ -10,10 +10,8 @@
   kNotConnected = 1,
   // The time was up.
   kTimeout,
-  // The connection broke, or libcurl would have sent the request a second time.
+  // The connection broke, or the answer was cut short.
   kBroken,
-  // The answer was cut short or larger than the limit.
-  kBadAnswer,
   // The client was stopped.
   kStopped,
 };
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,279 +1,261 @@
 #include "http/http_client.h"
 
-#include <curl/curl.h>
-
-#include <algorithm>
 #include <atomic>
-#include <mutex>
-#include <string_view>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
 #include <thread>
 #include <unordered_map>
 #include <utility>
 
+#include "clock/system_clock.h"
 #include "http/client_error.h"
+#include "http/url.h"
+#include "net/connection_pool.h"
+#include "net/http_format.h"
 
 namespace sycamorestall::http {
 
 namespace {
 
-constexpr int kPollTimeoutMs = 1000;
-constexpr std::size_t kSpareHandles = 256;
+// Timeouts are kept this exactly.
+constexpr std::chrono::milliseconds kTimeoutCheck{10};
 
-// Everything that libcurl needs while one call is under way.
-struct Transfer {
-  std::uint64_t number = 0;
+// A call that has not ended.
+struct Running {
   Call call;
   HttpClient::Callback callback;
-  CURL* handle = nullptr;
-  curl_slist* headers = nullptr;
-  CallResult result;
-  std::size_t max_answer_bytes = 0;
-  int sends = 0;
+  Url url;
+  Instant give_up_at;
+  bool sent = false;
+  bool sent_again = false;
+  ConnectionPool::CallHandle handle;
 };
 
-std::size_t TakeBody(char* bytes, std::size_t size, std::size_t count, void* user) {
-  auto* transfer = static_cast<Transfer*>(user);
-  const std::size_t length = size * count;
-  if (transfer->result.body.size() + length > transfer->max_answer_bytes) {
-    return 0;
-  }
-  transfer->result.body.append(bytes, length);
-  return length;
-}
+// The calls to one host.
+struct Host {
+  std::size_t connections = 0;
+  std::deque<std::uint64_t> waiting;
+};
 
-std::size_t TakeHeader(char* bytes, std::size_t size, std::size_t count, void* user) {
-  auto* transfer = static_cast<Transfer*>(user);
-  std::string_view line(bytes, size * count);
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    std::string_view value = line.substr(colon + 1);
-    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
-    value = value.substr(0, value.find_last_not_of("\r\n") + 1);
-    transfer->result.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+OutgoingMessage MakeMessage(Call& call, const Url& url) {
+  OutgoingMessage message;
+  message.head = std::string(ToString(call.method)) + " " + url.target + " HTTP/1.1\r\n";
+  AppendHeader(message.head, "Host", url.authority);
+  for (const Header& header : call.headers) {
+    AppendHeader(message.head, header.name, header.value);
   }
-  return size * count;
-}
-
-// libcurl calls this before each time it sends the request. It sends a request
-// again by itself when a kept connection turns out dead, which for work that is
-// not idempotent could run it twice.
-int BeforeSend(void* user, char*, char*, int, int) {
-  auto* transfer = static_cast<Transfer*>(user);
-  transfer->sends += 1;
-  const bool again = transfer->sends > 1 && !transfer->call.idempotent;
-  return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  const bool has_body = call.method == Method::kPost || call.method == Method::kPut;
+  if (has_body) {
+    AppendHeader(message.head, "Content-Length", std::to_string(call.body.size()));
+    message.body = std::make_shared<const std::string>(call.body);
+  }
+  message.head += "\r\n";
+  return message;
 }
 
-std::error_code Translate(CURLcode code, const Transfer& transfer) {
-  switch (code) {
-    case CURLE_OK:
+std::error_code Translate(CallVerdict verdict) {
+  switch (verdict) {
+    case CallVerdict::kAnswered:
       return {};
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
+    case CallVerdict::kNotConnected:
       return ClientError::kNotConnected;
-    case CURLE_OPERATION_TIMEDOUT:
-      return transfer.sends == 0 ? ClientError::kNotConnected : ClientError::kTimeout;
-    case CURLE_PARTIAL_FILE:
-    case CURLE_WRITE_ERROR:
-      return ClientError::kBadAnswer;
-    default:
-      return ClientError::kBroken;
+    case CallVerdict::kTimedOut:
+      return ClientError::kTimeout;
+    case CallVerdict::kBroken:
+    case CallVerdict::kStaleConnection:
+      break;
+  }
+  return ClientError::kBroken;
+}
+
+CallResult Translate(sycamorestall::CallResult from) {
+  CallResult result;
+  result.error = Translate(from.verdict);
+  result.perhaps_sent = from.verdict != CallVerdict::kNotConnected;
+  if (result.error) {
+    return result;
   }
+  result.status = static_cast<std::uint16_t>(from.answer.result_int());
+  for (const auto& field : from.answer) {
+    result.headers.push_back({{field.name_string().data(), field.name_string().size()},
+                              {field.value().data(), field.value().size()}});
+  }
+  result.body = std::move(from.answer.body());
+  return result;
 }
 
 }  // namespace
 
-// Owns the thread and libcurl's handles.
+// Owns the thread, its loop and the connections. All but the public functions
+// run on that thread.
 class HttpClient::Implementation {
  public:
   explicit Implementation(ClientSettings settings)
-      : settings_(settings), multi_(curl_multi_init()) {
-    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
-                      static_cast<long>(settings_.max_connections_per_host));  // NOLINT
-    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 4096L);
-    thread_ = std::thread([this] { Run(); });
+      : settings_(settings), work_(context_.get_executor()), pool_(context_), timer_(context_) {
+    CheckTimeouts();
+    thread_ = std::thread([this] { context_.run(); });
   }
 
   ~Implementation() { Stop(); }
 
   std::uint64_t Start(Call call, Callback callback) {
-    auto transfer = std::make_unique<Transfer>();
-    transfer->number = next_number_.fetch_add(1);
-    transfer->call = std::move(call);
-    transfer->callback = std::move(callback);
-    transfer->max_answer_bytes = settings_.max_answer_bytes;
-    const std::uint64_t number = transfer->number;
-    bool first = false;
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      first = incoming_.empty();
-      incoming_.push_back(std::move(transfer));
-    }
-    if (first) {
-      curl_multi_wakeup(multi_);
-    }
+    const std::uint64_t number = next_number_.fetch_add(1);
+    boost::asio::post(
+        context_, [this, number, call = std::move(call), callback = std::move(callback)]() mutable {
+          Begin(number, std::move(call), std::move(callback));
+        });
     return number;
   }
 
   void Abandon(std::uint64_t number) {
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      abandoned_.push_back(number);
-    }
-    curl_multi_wakeup(multi_);
+    boost::asio::post(context_, [this, number] { GiveUp(number); });
   }
 
   void Stop() {
     if (!thread_.joinable()) {
       return;
     }
-    stopping_ = true;
-    curl_multi_wakeup(multi_);
+    boost::asio::post(context_, [this] {
+      stopping_ = true;
+      while (!running_.empty()) {
+        GiveUp(running_.begin()->first);
+      }
+      context_.stop();
+    });
     thread_.join();
-    for (CURL* handle : spare_) {
-      curl_easy_cleanup(handle);
-    }
-    curl_multi_cleanup(multi_);
   }
 
  private:
-  void Run() {
-    while (!stopping_) {
-      TakeIncoming();
-      int running = 0;
-      curl_multi_perform(multi_, &running);
-      FinishDone();
-      TakeAbandoned();
-      curl_multi_poll(multi_, nullptr, 0, kPollTimeoutMs, nullptr);
-    }
-    TakeIncoming();
-    while (!transfers_.empty()) {
-      End(transfers_.begin()->first, ClientError::kStopped);
+  void Begin(std::uint64_t number, Call call, Callback callback) {
+    const std::optional<Url> url = ParseUrl(call.url);
+    if (!url || stopping_) {
+      CallResult result;
+      result.error = stopping_ ? ClientError::kStopped : ClientError::kNotConnected;
+      result.perhaps_sent = false;
+      callback(std::move(result));
+      return;
     }
+    Running running;
+    running.give_up_at = BootNow() + call.timeout;
+    running.call = std::move(call);
+    running.callback = std::move(callback);
+    running.url = *url;
+    running_.emplace(number, std::move(running));
+    hosts_[url->authority].waiting.push_back(number);
+    SendWaiting(url->authority);
   }
 
-  void TakeIncoming() {
-    std::vector<std::unique_ptr<Transfer>> incoming;
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      incoming.swap(incoming_);
-    }
-    for (auto& transfer : incoming) {
-      Begin(std::move(transfer));
+  void SendWaiting(const std::string& authority) {
+    Host& host = hosts_[authority];
+    while (!host.waiting.empty() && host.connections < settings_.max_connections_per_host) {
+      const std::uint64_t number = host.waiting.front();
+      host.waiting.pop_front();
+      const auto found = running_.find(number);
+      if (found != running_.end()) {
+        ++host.connections;
+        Send(number, found->second);
+      }
     }
   }
 
-  void TakeAbandoned() {
-    std::vector<std::uint64_t> abandoned;
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      abandoned.swap(abandoned_);
-    }
-    for (const std::uint64_t number : abandoned) {
-      End(number, ClientError::kStopped);
-    }
+  void Send(std::uint64_t number, Running& running) {
+    OutgoingCall call;
+    call.message = MakeMessage(running.call, running.url);
+    call.connect_timeout = settings_.connect_timeout;
+    call.give_up_at = running.give_up_at;
+    call.fresh_connection = running.call.fresh_connection || running.sent_again;
+    running.sent = true;
+    running.handle = pool_.Call(running.url.authority, running.url.address, std::move(call),
+                                BootNow(), [this, number](sycamorestall::CallResult result) {
+                                  TakeResult(number, std::move(result));
+                                });
   }
 
-  CURL* TakeHandle() {
-    if (spare_.empty()) {
-      return curl_easy_init();
+  void TakeResult(std::uint64_t number, sycamorestall::CallResult result) {
+    const auto found = running_.find(number);
+    if (found == running_.end()) {
+      return;
+    }
+    Running& running = found->second;
+    const bool again = result.verdict == CallVerdict::kStaleConnection && !running.sent_again &&
+                       running.call.idempotent;
+    if (again) {
+      running.sent_again = true;
+      Send(number, running);
+      return;
     }
-    CURL* handle = spare_.back();
-    spare_.pop_back();
-    return handle;
+    End(number, Translate(std::move(result)));
   }
 
-  void Begin(std::unique_ptr<Transfer> owned) {
-    Transfer* transfer = owned.get();
-    transfer->handle = TakeHandle();
-    transfers_[transfer->number] = std::move(owned);
-    SetOptions(*transfer);
-    curl_multi_add_handle(multi_, transfer->handle);
+  void GiveUp(std::uint64_t number) {
+    const auto found = running_.find(number);
+    if (found == running_.end()) {
+      return;
+    }
+    ConnectionPool::Cancel(found->second.handle);
+    CallResult result;
+    result.error = ClientError::kStopped;
+    result.perhaps_sent = found->second.sent;
+    End(number, std::move(result));
   }
 
-  void SetOptions(Transfer& transfer) {
-    CURL* handle = transfer.handle;
-    const Call& call = transfer.call;
-    for (const Header& header : call.headers) {
-      const std::string line = header.name + ": " + header.value;
-      transfer.headers = curl_slist_append(transfer.headers, line.c_str());
-    }
-    transfer.headers = curl_slist_append(transfer.headers, "Expect:");
-    curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(call.timeout.count()));  // NOLINT
-    const auto connect = std::min(settings_.connect_timeout, call.timeout);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(connect.count()));  // NOLINT
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
-    curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
-    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &TakeBody);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &TakeHeader);
-    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &BeforeSend);
-    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
-    if (call.method == Method::kPost || call.method == Method::kPut) {
-      curl_easy_setopt(handle, CURLOPT_POST, 1L);
-      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
-      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                       static_cast<curl_off_t>(call.body.size()));
-    }
-    if (call.method != Method::kGet && call.method != Method::kPost) {
-      curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, ToString(call.method));
+  void End(std::uint64_t number, CallResult result) {
+    const auto found = running_.find(number);
+    const Running running = std::move(found->second);
+    running_.erase(found);
+    running.callback(std::move(result));
+    if (running.sent) {
+      --hosts_[running.url.authority].connections;
+      SendWaiting(running.url.authority);
     }
   }
 
-  void FinishDone() {
-    int left = 0;
-    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-      if (message->msg != CURLMSG_DONE) {
-        continue;
+  void CheckTimeouts() {
+    timer_.expires_after(kTimeoutCheck);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
       }
-      const CURLcode code = message->data.result;
-      Transfer* transfer = nullptr;
-      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-      long status = 0;  // NOLINT(google-runtime-int)
-      curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
-      transfer->result.status = static_cast<std::uint16_t>(status);
-      End(transfer->number, Translate(code, *transfer));
-    }
+      const Instant now = BootNow();
+      pool_.CheckTimeouts(now);
+      EndWaiting(now);
+      CheckTimeouts();
+    });
   }
 
-  void End(std::uint64_t number, std::error_code error) {
-    const auto found = transfers_.find(number);
-    if (found == transfers_.end()) {
-      return;
+  // Ends calls whose time is up before a connection was free for them.
+  void EndWaiting(Instant now) {
+    std::vector<std::uint64_t> late;
+    for (const auto& [authority, host] : hosts_) {
+      for (const std::uint64_t number : host.waiting) {
+        const auto found = running_.find(number);
+        if (found != running_.end() && now > found->second.give_up_at) {
+          late.push_back(number);
+        }
+      }
     }
-    const std::unique_ptr<Transfer> transfer = std::move(found->second);
-    transfers_.erase(found);
-    curl_multi_remove_handle(multi_, transfer->handle);
-    curl_easy_reset(transfer->handle);
-    if (spare_.size() < kSpareHandles) {
-      spare_.push_back(transfer->handle);
-    } else {
-      curl_easy_cleanup(transfer->handle);
+    for (const std::uint64_t number : late) {
+      CallResult result;
+      result.error = ClientError::kNotConnected;
+      result.perhaps_sent = false;
+      End(number, std::move(result));
     }
-    curl_slist_free_all(transfer->headers);
-    transfer->result.error = error;
-    transfer->result.perhaps_sent = transfer->sends > 0;
-    transfer->callback(std::move(transfer->result));
   }
 
-  ClientSettings settings_;
-  CURLM* multi_;
-  std::thread thread_;
-  std::atomic<bool> stopping_{false};
+  const ClientSettings settings_;
+  boost::asio::io_context context_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  ConnectionPool pool_;
+  boost::asio::steady_timer timer_;
+  std::unordered_map<std::uint64_t, Running> running_;
+  std::map<std::string, Host> hosts_;
+  bool stopping_ = false;
   std::atomic<std::uint64_t> next_number_{1};
-  std::mutex mutex_;
-  std::vector<std::unique_ptr<Transfer>> incoming_;
-  std::vector<std::uint64_t> abandoned_;
-  std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> transfers_;
-  std::vector<CURL*> spare_;
+  std::thread thread_;
 };
 
 HttpClient::HttpClient(ClientSettings settings)
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -39,11 +39,12 @@
 // Limits of a client.
 struct ClientSettings {
   std::chrono::milliseconds connect_timeout{500};
+  // Further calls to a host wait until one of its connections is free.
   std::size_t max_connections_per_host = 100;
-  std::size_t max_answer_bytes = 64 << 20;
 };
 
-// Makes HTTP calls with libcurl, many at a time, on one thread of its own.
+// Makes HTTP calls, many at a time, on one thread of its own, by the same
+// connections as the routing daemon.
 class HttpClient {
  public:
   // Takes the result of a call; called on the client's thread.
--- a/src/http/http_message.cc
+++ b/src/http/http_message.cc
@@ -1,10 +1,8 @@
 #include "http/http_message.h"
 
-#include <curl/curl.h>
 #include <strings.h>
 
 #include <boost/locale/utf.hpp>
-#include <cctype>
 
 namespace sycamorestall::http {
 
@@ -13,8 +11,6 @@
 constexpr std::uint32_t kFirstPrintable = 0x20;
 constexpr std::uint32_t kDelete = 0x7f;
 
-bool IsHex(char character) { return std::isxdigit(static_cast<unsigned char>(character)) != 0; }
-
 }  // namespace
 
 const char* ToString(Method method) {
@@ -43,36 +39,6 @@
   return nullptr;
 }
 
-bool DecodePercent(std::string_view text, std::string& decoded) {
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] != '%') {
-      continue;
-    }
-    if (i + 2 >= text.size() || !IsHex(text[i + 1]) || !IsHex(text[i + 2])) {
-      return false;
-    }
-  }
-  int length = 0;
-  const std::string copy{text};
-  char* raw = curl_easy_unescape(nullptr, copy.c_str(), static_cast<int>(copy.size()), &length);
-  if (raw == nullptr) {
-    return false;
-  }
-  decoded.assign(raw, static_cast<std::size_t>(length));
-  curl_free(raw);
-  return true;
-}
-
-std::string EncodePercent(std::string_view text) {
-  if (text.empty()) {
-    return {};
-  }
-  char* raw = curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
-  std::string encoded = raw == nullptr ? "" : raw;
-  curl_free(raw);
-  return encoded;
-}
-
 bool IsPlainUtf8(std::string_view text) {
   using Traits = boost::locale::utf::utf_traits<char>;
   const char* place = text.data();
@@ -87,18 +53,4 @@
   return true;
 }
 
-std::string QueryParameter(std::string_view query, std::string_view name) {
-  while (!query.empty()) {
-    const std::size_t end = query.find('&');
-    const std::string_view pair = query.substr(0, end);
-    const std::size_t equals = pair.find('=');
-    if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
-      std::string value;
-      return DecodePercent(pair.substr(equals + 1), value) ? value : std::string{};
-    }
-    query = end == std::string_view::npos ? std::string_view{} : query.substr(end + 1);
-  }
-  return {};
-}
-
 }  // namespace sycamorestall::http
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -47,16 +47,7 @@
   bool close = false;
 };
 
-// Undoes percent-encoding; false when it is malformed.
-bool DecodePercent(std::string_view text, std::string& decoded);
-
-// Percent-encodes all but unreserved characters (RFC 3986, section 2.3).
-std::string EncodePercent(std::string_view text);
-
 // Whether the text is valid UTF-8 without control characters.
 bool IsPlainUtf8(std::string_view text);
 
-// The value of a parameter in a query string, decoded; empty when it is absent.
-std::string QueryParameter(std::string_view query, std::string_view name);
-
 }  // namespace sycamorestall::http
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,86 +1,150 @@
 #include "http/http_server.h"
 
-#include <pistache/listener.h>
-
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <thread>
 #include <utility>
 
-#include "http/connection_worker.h"
+#include "clock/system_clock.h"
+#include "net/caller_listener.h"
+#include "net/http_format.h"
 
 namespace sycamorestall::http {
 
 namespace {
 
-// Hands what Pistache says of a connection to the worker that owns it.
-class ConnectionHandler : public Pistache::Http::Handler {
-  HTTP_PROTOTYPE(ConnectionHandler)
-
- public:
-  void onRequest(const Pistache::Http::Request&, Pistache::Http::ResponseWriter) override {}
-
-  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>&) override {}
+constexpr std::chrono::milliseconds kTimeoutCheck{50};
+constexpr std::uint32_t kMaxHeadBytes = 16 * 1024;
+
+Method MethodOf(boost::beast::http::verb verb) {
+  switch (verb) {
+    case boost::beast::http::verb::get:
+      return Method::kGet;
+    case boost::beast::http::verb::put:
+      return Method::kPut;
+    case boost::beast::http::verb::post:
+      return Method::kPost;
+    case boost::beast::http::verb::delete_:
+      return Method::kDelete;
+    default:
+      return Method::kOther;
+  }
+}
 
-  void onInput(const char* bytes, std::size_t count,
-               const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    static_cast<ConnectionWorker*>(transport())->TakeInput(peer, this, bytes, count);
+Request Convert(const CallerExchange& exchange) {
+  const HttpRequest& from = exchange.request();
+  const std::string target{from.target().data(), from.target().size()};
+  const std::size_t question = target.find('?');
+  Request request;
+  request.method = MethodOf(from.method());
+  request.path = target.substr(0, question);
+  request.query = question == std::string::npos ? "" : target.substr(question + 1);
+  for (const auto& field : from) {
+    request.headers.push_back({{field.name_string().data(), field.name_string().size()},
+                               {field.value().data(), field.value().size()}});
   }
+  request.body = *exchange.body();
+  return request;
+}
 
-  void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    static_cast<ConnectionWorker*>(transport())->TakeDisconnection(peer);
+OutgoingMessage Convert(Response response) {
+  OutgoingMessage message;
+  message.head = StatusLine(response.status);
+  if (!response.content_type.empty()) {
+    AppendHeader(message.head, "Content-Type", response.content_type);
   }
-};
+  for (const Header& header : response.headers) {
+    AppendHeader(message.head, header.name, header.value);
+  }
+  AppendHeader(message.head, "Content-Length", std::to_string(response.body.size()));
+  message.body = std::make_shared<const std::string>(std::move(response.body));
+  return message;
+}
 
 }  // namespace
 
-// Keeps Pistache's types out of the public header.
-class ServerImplementation {
+// Runs the server's loop and hands requests to the handler.
+class ServerImplementation : public CallerHandler {
  public:
   ServerImplementation(ServerSettings settings, RequestHandler& handler)
-      : shared_(std::make_shared<ServerShared>()),
-        listener_(Pistache::Address(settings.host, Pistache::Port(settings.port))) {
-    shared_->settings = std::move(settings);
-    shared_->handler = &handler;
-  }
+      : settings_(std::move(settings)),
+        handler_(handler),
+        context_(std::make_shared<boost::asio::io_context>(1)),
+        timer_(*context_) {}
 
   void Start() {
-    using Pistache::Tcp::Options;
-    const auto handler = std::make_shared<ConnectionHandler>();
-    listener_.init(
-        static_cast<std::size_t>(shared_->settings.workers),
-        Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay | Options::CloseOnExec,
-        shared_->settings.thread_name);
-    listener_.setTransportFactory(
-        [this, handler] { return std::make_shared<ConnectionWorker>(handler, shared_); });
-    listener_.setHandler(handler);
-    listener_.bind();
-    listener_.runThreaded();
-    running_ = true;
+    listener_ = std::make_unique<CallerListener>(
+        *context_, NetworkAddress{settings_.host, settings_.port}, *this);
+    CheckTimeouts();
+    thread_ = std::thread([this] { context_->run(); });
   }
 
   void Stop() {
-    if (std::exchange(running_, false)) {
-      listener_.shutdown();
+    if (!thread_.joinable()) {
+      return;
     }
+    context_->stop();
+    thread_.join();
+    listener_->CloseAll();
   }
 
-  std::uint16_t port() const { return listener_.getPort(); }
+  std::uint16_t port() const { return listener_->port(); }
+
+  void TakeRequest(std::shared_ptr<CallerExchange> exchange) override {
+    const std::uint64_t number = next_number_++;
+    exchange->OnAbandoned([this, number] { handler_.CallerLeft(number); });
+    Request request = Convert(*exchange);
+    handler_.Handle(std::move(request), Responder{context_, std::move(exchange), number});
+  }
+
+  CallerLimits Limits() const override {
+    return {kMaxHeadBytes, settings_.max_body_bytes, settings_.arrival_timeout,
+            settings_.idle_timeout};
+  }
+
+  bool Closing() const override { return false; }
+
+  OutgoingMessage AnswerMalformed(unsigned status, const std::string& reason) const override {
+    return Convert(handler_.Malformed(static_cast<std::uint16_t>(status), reason));
+  }
 
  private:
-  std::shared_ptr<ServerShared> shared_;
-  Pistache::Tcp::Listener listener_;
-  bool running_ = false;
+  void CheckTimeouts() {
+    timer_.expires_after(kTimeoutCheck);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        listener_->CheckTimeouts(BootNow());
+        CheckTimeouts();
+      }
+    });
+  }
+
+  const ServerSettings settings_;
+  RequestHandler& handler_;
+  // Responders may outlive the server.
+  std::shared_ptr<boost::asio::io_context> context_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<CallerListener> listener_;
+  std::uint64_t next_number_ = 1;
+  std::thread thread_;
 };
 
-Responder::Responder(std::shared_ptr<WorkerMailbox> mailbox, std::uint64_t number)
-    : mailbox_(std::move(mailbox)), number_(number) {}
+Responder::Responder(std::shared_ptr<boost::asio::io_context> context,
+                     std::shared_ptr<CallerExchange> exchange, std::uint64_t number)
+    : context_(std::move(context)), exchange_(std::move(exchange)), number_(number) {}
 
 void Responder::Send(Response response) const {
-  if (mailbox_) {
-    mailbox_->Post({number_, std::move(response)});
+  if (!exchange_) {
+    return;
   }
-}
-
-std::optional<Response> RequestHandler::CheckHead(const Request&, std::uint64_t) {
-  return std::nullopt;
+  boost::asio::post(*context_, [exchange = exchange_, response = std::move(response)]() mutable {
+    if (response.close) {
+      exchange->CloseAfterwards();
+    }
+    exchange->Answer(Convert(std::move(response)));
+  });
 }
 
 void RequestHandler::CallerLeft(std::uint64_t) {}
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,25 +1,28 @@
 #pragma once
 
+#include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "http/http_message.h"
 
+namespace sycamorestall {
+class CallerExchange;
+}  // namespace sycamorestall
+
 namespace sycamorestall::http {
 
-class WorkerMailbox;
 class ServerImplementation;
 
 // Answers one request, from any thread, once. The answer is handed to the
-// worker that owns the request's connection and written there, so it reaches
-// that connection or none.
+// server's loop and written to the request's connection or to none.
 class Responder {
  public:
   Responder() = default;
-  Responder(std::shared_ptr<WorkerMailbox> mailbox, std::uint64_t number);
+  Responder(std::shared_ptr<boost::asio::io_context> context,
+            std::shared_ptr<CallerExchange> exchange, std::uint64_t number);
 
   // Sends the answer; a caller that has left is passed over silently.
   void Send(Response response) const;
@@ -27,18 +30,17 @@
   std::uint64_t number() const { return number_; }
 
  private:
-  std::shared_ptr<WorkerMailbox> mailbox_;
+  std::shared_ptr<boost::asio::io_context> context_;
+  std::shared_ptr<CallerExchange> exchange_;
   std::uint64_t number_ = 0;
 };
 
 // Takes the requests of a server. Its functions are called on the server's
-// worker threads, several at a time, and must not block.
+// thread and must not block.
 class RequestHandler {
  public:
   virtual ~RequestHandler() = default;
 
-  // Looks at a request whose body has not been read; an answer refuses it.
-  virtual std::optional<Response> CheckHead(const Request& head, std::uint64_t body_bytes);
   // Takes a whole request; the answer goes through the responder.
   virtual void Handle(Request request, Responder responder) = 0;
   // The caller of a request that is still open has closed its connection.
@@ -52,17 +54,14 @@
   std::string host = "127.0.0.1";
   // 0 lets the system choose.
   std::uint16_t port = 0;
-  int workers = 2;
   std::uint64_t max_body_bytes = 8ULL << 20;
   std::chrono::milliseconds idle_timeout{std::chrono::seconds{60}};
-  // How long a request may take to arrive whole.
+  // How long a request may pause while it arrives.
   std::chrono::milliseconds arrival_timeout{std::chrono::seconds{30}};
-  std::string thread_name = "http";
 };
 
-// Serves HTTP/1.1 on Pistache's listener, transport and parser. Requests are
-// framed before they are parsed: a length that is malformed or over the limit
-// is refused with a clear error, and pipelined requests are served in turn.
+// Serves HTTP/1.1 to callers on one thread of its own, by the same connections
+// as the routing daemon.
 class HttpServer {
  public:
   HttpServer(ServerSettings settings, RequestHandler& handler);
@@ -72,7 +71,7 @@
 
   // Starts listening; throws std::runtime_error when the address is taken.
   void Start();
-  // Stops listening and ends the workers; open requests get no answer.
+  // Stops listening and ends the thread; open requests get no answer.
   void Stop();
   // The port listened on.
   std::uint16_t port() const;
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -19,8 +19,14 @@
 constexpr std::size_t kMaxOpenRequests = 64;
 constexpr std::chrono::milliseconds kLingerTime{1000};
 constexpr std::string_view kKeepAliveEnd = "\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kCloseEnd = "Connection: close\r\n\r\n";
 
+bool IsContinueExpected(const HttpRequest& request) {
+  const auto expect = request.find(beast_http::field::expect);
+  return expect != request.end() && beast::iequals(expect->value(), "100-continue");
+}
+
 unsigned StatusOf(const beast::error_code& error) {
   if (error == beast_http::error::header_limit) {
     return 431;
@@ -47,6 +53,14 @@
   }
 }
 
+OutgoingMessage CallerHandler::AnswerMalformed(unsigned status,
+                                               const std::string& /*reason*/) const {
+  OutgoingMessage answer;
+  answer.head = StatusLine(status);
+  AppendHeader(answer.head, "Content-Length", "0");
+  return answer;
+}
+
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerHandler& handler)
     : socket_(std::move(socket)), handler_(handler) {}
 
@@ -59,6 +73,7 @@
 void CallerConnection::NewParser() {
   const CallerLimits limits = handler_.Limits();
   parser_.emplace();
+  invited_ = false;
   parser_->eager(true);
   parser_->header_limit(limits.max_header_bytes);
   parser_->body_limit(limits.max_body_bytes);
@@ -104,6 +119,7 @@
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
     if (error == beast_http::error::need_more) {
+      InviteBody();
       return;
     }
     if (error) {
@@ -113,9 +129,33 @@
     if (parser_->is_done()) {
       FinishRequest();
     } else if (used == 0) {
-      return;
+      break;
     }
   }
+  InviteBody();
+}
+
+void CallerConnection::InviteBody() {
+  const bool waits = parser_->is_header_done() && !parser_->is_done() && !invited_ &&
+                     exchanges_.empty() && !writing_ && IsContinueExpected(parser_->get());
+  if (!waits) {
+    return;
+  }
+  invited_ = true;
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(kContinue),
+      [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
+        self->writing_ = false;
+        if (self->phase_ == Phase::kClosed) {
+          return;
+        }
+        if (error) {
+          self->Abandon();
+          return;
+        }
+        self->Write();
+      });
 }
 
 void CallerConnection::FinishRequest() {
@@ -133,10 +173,7 @@
   exchange->keep_alive_ = false;
   last_read_ = true;
   exchanges_.push_back(exchange);
-  OutgoingMessage answer;
-  answer.head = StatusLine(StatusOf(error));
-  AppendHeader(answer.head, "Content-Length", "0");
-  exchange->Answer(std::move(answer));
+  exchange->Answer(handler_.AnswerMalformed(StatusOf(error), error.message()));
 }
 
 void CallerConnection::Write() {
@@ -146,8 +183,6 @@
   std::size_t count = 0;
   bool close = false;
   std::vector<asio::const_buffer> pieces;
-  std::vector<std::size_t> head_ends;
-  outgoing_heads_.clear();
   while (count < exchanges_.size() && exchanges_[count]->answered() && !close) {
     CallerExchange& exchange = *exchanges_[count];
     const bool last_of_all = last_read_ && count + 1 == exchanges_.size();
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -33,6 +33,8 @@
   // Gives the answer; to be called once. The head must lack the Connection
   // header, which the connection adds.
   void Answer(OutgoingMessage message);
+  // The connection is closed behind this answer; to be said before it is given.
+  void CloseAfterwards() { keep_alive_ = false; }
   // Called once if the caller leaves before the answer was given.
   void OnAbandoned(std::function<void()> callback) { on_abandoned_ = std::move(callback); }
 
@@ -59,6 +61,8 @@
   virtual CallerLimits Limits() const = 0;
   // Whether connections are to be closed after their next answer.
   virtual bool Closing() const = 0;
+  // The answer to bytes that are not a request or are too many.
+  virtual OutgoingMessage AnswerMalformed(unsigned status, const std::string& reason) const;
 };
 
 // A caller's connection: reads requests, also while earlier ones run, and writes
@@ -74,6 +78,8 @@
   // Closes the connection if no request is open; says "close" on the next
   // answer otherwise.
   void CloseWhenIdle();
+  // Closes the connection at once.
+  void Close();
   // Whether the connection is closed for good.
   bool closed() const { return phase_ == Phase::kClosed; }
   // Requests that were read and whose answers are not wholly written.
@@ -91,13 +97,13 @@
   void Read();
   void TakeBytes(std::size_t size);
   void ParseRequests();
+  void InviteBody();
   void FinishRequest();
   void RejectBytes(const boost::beast::error_code& error);
   void Write();
   void FinishWrite(std::size_t count, bool close);
   void Linger();
   void Abandon();
-  void Close();
   void NewParser();
 
   boost::asio::ip::tcp::socket socket_;
@@ -112,7 +118,8 @@
   bool last_read_ = false;
   bool close_after_answer_ = false;
   Instant last_activity_;
-  std::string outgoing_heads_;
+  // Whether the caller was told to send the body that it waits with.
+  bool invited_ = false;
 };
 
 }  // namespace sycamorestall
--- a/src/net/caller_listener.cc
+++ b/src/net/caller_listener.cc
@@ -47,6 +47,14 @@
   acceptor_.close(ignored);
 }
 
+void CallerListener::CloseAll() {
+  Stop();
+  for (const auto& connection : connections_) {
+    connection->Close();
+  }
+  connections_.clear();
+}
+
 std::size_t CallerListener::open_requests() const {
   std::size_t count = 0;
   for (const auto& connection : connections_) {
--- a/src/net/caller_listener.h
+++ b/src/net/caller_listener.h
@@ -21,6 +21,10 @@
   void CloseIdle();
   // Takes no further connections.
   void Stop();
+  // The same, and ends all that there are.
+  void CloseAll();
+  // The port listened on.
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   // Requests whose answers are not wholly written.
   std::size_t open_requests() const;
 
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -31,7 +31,7 @@
   std::vector<std::shared_ptr<HttpConnection>>& connections = peers_[peer].connections;
   std::shared_ptr<HttpConnection> chosen;
   for (const auto& connection : connections) {
-    const bool usable = connection->idle() && IsFresh(*connection, now);
+    const bool usable = !call.fresh_connection && connection->idle() && IsFresh(*connection, now);
     if (usable && (!chosen || connection->idle_since() > chosen->idle_since())) {
       chosen = connection;
     }
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -69,25 +69,41 @@
   boost::system::error_code bad_address;
   const auto host = asio::ip::make_address(address_.host, bad_address);
   if (bad_address) {
-    asio::post(socket_.get_executor(), [self = shared_from_this()] {
-      if (self->phase_ == Phase::kConnecting) {
-        self->Fail(CallVerdict::kNotConnected, "not an address");
-      }
-    });
+    Resolve();
     return;
   }
-  socket_.async_connect({host, address_.port},
-                        [self = shared_from_this()](const beast::error_code& error) {
-                          if (self->phase_ != Phase::kConnecting) {
-                            return;
-                          }
-                          if (error) {
-                            self->Fail(CallVerdict::kNotConnected, error.message());
-                            return;
-                          }
-                          SetLinkOptions(self->socket_);
-                          self->Send();
-                        });
+  ConnectTo({host, address_.port});
+}
+
+void HttpConnection::Resolve() {
+  const auto resolver = std::make_shared<asio::ip::tcp::resolver>(socket_.get_executor());
+  resolver->async_resolve(
+      address_.host, std::to_string(address_.port),
+      [self = shared_from_this(), resolver](const beast::error_code& error,
+                                            const asio::ip::tcp::resolver::results_type& found) {
+        if (self->phase_ != Phase::kConnecting) {
+          return;
+        }
+        if (error || found.empty()) {
+          self->Fail(CallVerdict::kNotConnected, "host not found");
+          return;
+        }
+        self->ConnectTo(found.begin()->endpoint());
+      });
+}
+
+void HttpConnection::ConnectTo(const asio::ip::tcp::endpoint& endpoint) {
+  socket_.async_connect(endpoint, [self = shared_from_this()](const beast::error_code& error) {
+    if (self->phase_ != Phase::kConnecting) {
+      return;
+    }
+    if (error) {
+      self->Fail(CallVerdict::kNotConnected, error.message());
+      return;
+    }
+    SetLinkOptions(self->socket_);
+    self->Send();
+  });
 }
 
 void HttpConnection::Send() {
@@ -200,7 +216,7 @@
   if (calling && call_.give_up_at && now > *call_.give_up_at) {
     const bool connected = phase_ == Phase::kCalling;
     ResetOnClose(socket_);
-    Fail(connected ? CallVerdict::kBroken : CallVerdict::kNotConnected, "no answer in time");
+    Fail(connected ? CallVerdict::kTimedOut : CallVerdict::kNotConnected, "no answer in time");
   }
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -21,6 +21,8 @@
   kNotConnected,
   // No whole answer came although bytes of the request may have been read.
   kBroken,
+  // The same, by the time at which the call was to be given up.
+  kTimedOut,
   // The peer closed the connection, before it answered anything, that an earlier
   // request had used: it had given the connection up while the request came.
   kStaleConnection,
@@ -39,6 +41,8 @@
   OutgoingMessage message;
   // Answers to HEAD requests announce a body and have none.
   bool head_request = false;
+  // Whether to pass over kept connections.
+  bool fresh_connection = false;
   Duration connect_timeout{};
   // No answer by then ends the call; unset: no limit.
   std::optional<Instant> give_up_at;
@@ -75,6 +79,8 @@
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Connect();
+  void Resolve();
+  void ConnectTo(const boost::asio::ip::tcp::endpoint& endpoint);
   void Send();
   void Read();
   void TakeBytes(const boost::beast::error_code& error, std::size_t size);
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -201,6 +201,7 @@
       }
       return;
     case CallVerdict::kBroken:
+    case CallVerdict::kTimedOut:
     case CallVerdict::kStaleConnection:
       break;
   }
--- a/tests/fakes/fake_callers.h
+++ b/tests/fakes/fake_callers.h
@@ -36,7 +36,7 @@
   std::chrono::milliseconds leaves_after{0};
   // Whether requests carry an Idempotency-Key.
   bool commands = false;
-  // Libcurl threads.
+  // Client threads.
   int threads = 1;
   std::uint64_t seed = 1;
 };
--- a/tests/fakes/fake_endpoint.cc
+++ b/tests/fakes/fake_endpoint.cc
@@ -8,6 +8,7 @@
 #include "clock/system_clock.h"
 #include "endpoint/order_json.h"
 #include "http/status.h"
+#include "http/url.h"
 
 namespace sycamorestall::fakes {
 
--- a/tests/fakes/fake_platform.cc
+++ b/tests/fakes/fake_platform.cc
@@ -7,6 +7,7 @@
 
 #include "clock/system_clock.h"
 #include "http/status.h"
+#include "http/url.h"
 #include "platform/record_json.h"
 
 namespace sycamorestall::fakes {
