Let one daemon of a domain watch the store and pass on what is new

Change: the strongest daemon of a domain that reaches the store, and leaders of keys, watch; the others live by its news (changes only, in datagrams, with base and revision) and watch for themselves when news are late (0.9 s), tell of an answer older than 1.65 s, or have a gap. Whoever was away for over 4 s reads everything. Events already taken are passed over. Entries that say nothing new are not taken again.

Ruled out: relays between domains (bytes between domains are paid for, and a cut would stop them); news over TCP (a lost datagram costs one call).

--- a/src/core/endpoint_entry.h
+++ b/src/core/endpoint_entry.h
@@ -23,6 +23,14 @@
   // Tells one start under this id from the next.
   Incarnation incarnation;
 
+  // Whether the other entry says the same, but perhaps for what is left of the slow
+  // time, which grows shorter by itself.
+  bool SameButWarmUp(const EndpointEntry& other) const {
+    EndpointEntry same = other;
+    same.warm_up_left = warm_up_left;
+    return same == *this;
+  }
+
   friend bool operator==(const EndpointEntry&, const EndpointEntry&) = default;
 };
 
--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -31,10 +31,19 @@
           hand_over.confirmed_ms_ago);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, StoreEvent& event) {
+  archive(event.item.key, event.item.value, event.item.revision, event.removed);
+}
+template <typename Archive>
+void serialize(Archive& archive, StoreNews& news) {
+  archive(news.base, news.revision, news.answered_ms_ago, news.events);
+}
 template <typename Archive>
 void serialize(Archive& archive, DaemonMessage& message) {
   archive(message.sender, message.domain, message.stopping, message.without_store, message.loads,
-          message.demands, message.announcements, message.denials, message.hand_overs);
+          message.demands, message.announcements, message.denials, message.hand_overs,
+          message.news);
 }
 
 std::string EncodeMessage(const DaemonMessage& message) {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -8,6 +8,7 @@
 #include "core/key_demand.h"
 #include "core/key_routes.h"
 #include "router/record_codec.h"
+#include "store/store_news.h"
 
 namespace sycamorestall {
 
@@ -75,6 +76,7 @@
   std::vector<AnnouncementPart> announcements;
   std::vector<KeyDenial> denials;
   std::vector<LeadHandOver> hand_overs;
+  std::vector<StoreNews> news;
 };
 
 // The message as bytes.
--- a/src/router/daemon_registry.cc
+++ b/src/router/daemon_registry.cc
@@ -17,8 +17,13 @@
 
 }  // namespace
 
-DaemonRegistry::DaemonRegistry(Store& store, InstanceId id, RegisteredDaemon self, Log log)
-    : store_(store), id_(std::move(id)), self_(std::move(self)), log_(std::move(log)) {}
+DaemonRegistry::DaemonRegistry(Store& store, InstanceId id, RegisteredDaemon self, Log log,
+                               CallObserver observe)
+    : store_(store),
+      id_(std::move(id)),
+      self_(std::move(self)),
+      log_(std::move(log)),
+      observe_(std::move(observe)) {}
 
 std::string DaemonRegistry::OwnKey() const { return std::string{kDaemonPrefix} + id_.value(); }
 
@@ -37,6 +42,7 @@
   phase_ = Phase::kOpening;
   next_call_ = now + kRetry;
   store_.OpenLease(kTimeToLive, [this](std::error_code error, LeaseId lease) {
+    observe_(error);
     if (phase_ != Phase::kOpening) {
       return;
     }
@@ -57,6 +63,7 @@
       {"host", self_.address.host}, {"port", self_.address.port}, {"weight", self_.weight}};
   change.puts.push_back({OwnKey(), value.dump(), lease_});
   store_.Commit(change, [this](std::error_code error, Revision /*revision*/) {
+    observe_(error);
     if (phase_ != Phase::kWriting) {
       return;
     }
@@ -75,6 +82,7 @@
   phase_ = Phase::kRenewing;
   next_call_ = now + kRenewInterval;
   store_.RenewLease(lease_, [this](std::error_code error, LeaseId /*lease*/) {
+    observe_(error);
     if (phase_ != Phase::kRenewing) {
       return;
     }
--- a/src/router/daemon_registry.h
+++ b/src/router/daemon_registry.h
@@ -28,8 +28,10 @@
 class DaemonRegistry {
  public:
   using Log = std::function<void(const std::string&)>;
+  // Hears how each call to the store ended.
+  using CallObserver = std::function<void(std::error_code)>;
 
-  DaemonRegistry(Store& store, InstanceId id, RegisteredDaemon self, Log log);
+  DaemonRegistry(Store& store, InstanceId id, RegisteredDaemon self, Log log, CallObserver observe);
 
   // Takes up or renews the lease if that is due.
   void Tick(Instant now);
@@ -57,6 +59,7 @@
   const InstanceId id_;
   const RegisteredDaemon self_;
   const Log log_;
+  const CallObserver observe_;
   Phase phase_ = Phase::kNone;
   LeaseId lease_;
   Instant next_call_;
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -53,6 +53,7 @@
   // Gives up the lead.
   void StepDown() { leader_.StepDown(); }
 
+  bool leads() const { return leader_.leading(); }
   const KeyRoutes& routes() const { return routes_; }
   UnservedKeys& unserved() { return unserved_; }
   // What is to be announced to all others; empty while nothing is. The factor
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -84,9 +84,11 @@
       formats_(formats),
       pool_(context_),
       store_(make_store(pool_)),
-      mirror_(*store_, *this),
-      registry_(*store_, settings_.instance, RegisteredDaemon{settings_.peer, settings_.weight},
-                [this](const std::string& text) { log_.Info(text); }),
+      mirror_(*store_, *this, BootNow),
+      registry_(
+          *store_, settings_.instance, RegisteredDaemon{settings_.peer, settings_.weight},
+          [this](const std::string& text) { log_.Info(text); },
+          [this](std::error_code error) { mirror_.TakeOtherCall(error); }),
       link_(context_, settings_.peer,
             [this](const DaemonMessage& message) { TakeMessage(message); }),
       retries_(settings_.retries),
@@ -143,7 +145,10 @@
 
 void RoutingDaemon::Tick() {
   const Instant now = BootNow();
+  watches_for_domain_ = WatchesForDomain(now);
+  mirror_.SetWatching(watches_for_domain_ || LeadsKeys());
   mirror_.Tick(now);
+  SendNews(now);
   registry_.Tick(now);
   if (now >= next_key_tick_) {
     next_key_tick_ = now + kKeyTick;
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -14,6 +14,7 @@
 #include "router/key_service.h"
 #include "router/request_relay.h"
 #include "store/store_mirror.h"
+#include "store/store_news.h"
 
 namespace sycamorestall {
 
@@ -55,12 +56,20 @@
   void CountRequest(const ServiceName& service, KeyNumber key) override;
   void ReportDenial(const ServiceName& service, KeyNumber key, const InstanceId& endpoint) override;
 
-  void TakeItem(const StoreItem& item, Instant now);
+  // These say whether the item told something new.
+  bool TakeItem(const StoreItem& item, Instant now);
+  bool TakeEndpoint(const StoreItem& item, Instant now);
+  bool TakeConfig(const std::string& text);
+  bool RemoveItem(const std::string& key);
   void TakeRecordItem(const StoreItem& item);
   void FinishItems(Instant now);
-  void RemoveItem(const std::string& key);
-  void TakeConfig(const std::string& text);
   void AddKeyServices();
+  // Whether this daemon watches the store for its domain.
+  bool WatchesForDomain(Instant now) const;
+  // Whether it watches for itself at least, as it leads keys.
+  bool LeadsKeys() const;
+  // Passes on what was heard from the store to the other daemons of the domain.
+  void SendNews(Instant now);
   void TakeMessage(const DaemonMessage& message);
   void TakeRequest(std::shared_ptr<CallerExchange> exchange);
   void Tick();
@@ -88,6 +97,9 @@
   ConnectionPool pool_;
   std::unique_ptr<Store> store_;
   StoreMirror mirror_;
+  NewsWriter news_;
+  bool watches_for_domain_ = true;
+  Instant next_news_;
   DaemonRegistry registry_;
   DaemonLink link_;
   EndpointFleet fleet_;
@@ -107,6 +119,7 @@
   // What each other daemon said last of its load.
   struct PeerLoad {
     Instant heard_at;
+    DomainName domain;
     bool stopping = false;
     bool without_store = false;
     std::vector<EndpointLoad> loads;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "clock/system_clock.h"
+#include "core/watch_duty.h"
 #include "router/routing_daemon.h"
 
 namespace sycamorestall {
@@ -13,6 +14,8 @@
 // Loads are told this often between few daemons, and less often between many.
 constexpr std::chrono::milliseconds kGossipInterval{100};
 constexpr std::size_t kFewDaemons = 6;
+// Those who watch the store tell the others of their domain at least this often.
+constexpr std::chrono::milliseconds kNewsInterval{400};
 constexpr std::chrono::milliseconds kUnregisteredPeerLife{10000};
 // A daemon that has not reached the store for so long says so: it cannot lead.
 constexpr std::chrono::milliseconds kStoreLoss{600};
@@ -111,6 +114,51 @@
   }
 }
 
+bool RoutingDaemon::LeadsKeys() const {
+  return std::any_of(keys_.begin(), keys_.end(),
+                     [](const auto& each) { return each.second->leads(); });
+}
+
+bool RoutingDaemon::WatchesForDomain(Instant now) const {
+  const auto self = registry_.daemons().find(settings_.instance);
+  if (self == registry_.daemons().end()) {
+    return true;
+  }
+  std::vector<WatchCandidate> others;
+  for (const auto& [id, peer] : peer_loads_) {
+    const auto daemon = registry_.daemons().find(id);
+    const bool fit = peer.domain == settings_.domain && now - peer.heard_at < kPeerLoadLife &&
+                     !peer.stopping && !peer.without_store && daemon != registry_.daemons().end();
+    if (fit) {
+      others.push_back({id, daemon->second.weight});
+    }
+  }
+  return sycamorestall::WatchesForDomain({settings_.instance, self->second.weight}, others);
+}
+
+void RoutingDaemon::SendNews(Instant now) {
+  if (!watches_for_domain_ || !mirror_.reachable()) {
+    news_.Reset(mirror_.revision());
+    return;
+  }
+  if (now < next_news_) {
+    return;
+  }
+  next_news_ = now + kNewsInterval;
+  const auto ago =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - mirror_.informed_at());
+  for (StoreNews& news : news_.Take(mirror_.revision(), static_cast<std::uint32_t>(ago.count()))) {
+    DaemonMessage message;
+    message.sender = settings_.instance;
+    message.news.push_back(std::move(news));
+    for (const auto& [id, peer] : peer_loads_) {
+      if (peer.domain == settings_.domain && now - peer.heard_at < kUnregisteredPeerLife) {
+        link_.SendTo(id, message);
+      }
+    }
+  }
+}
+
 void RoutingDaemon::SumPeerLoads(Instant now) {
   std::map<InstanceId, std::size_t> sums;
   for (const auto& [peer, load] : peer_loads_) {
@@ -132,7 +180,11 @@
   const bool periodic = !message.loads.empty() || !message.demands.empty();
   if (periodic) {
     domains_.HearDaemon(message.domain, GossipInterval(), now);
-    peer_loads_[message.sender] = {now, message.stopping, message.without_store, message.loads};
+    peer_loads_[message.sender] = {now, message.domain, message.stopping, message.without_store,
+                                   message.loads};
+  }
+  for (const StoreNews& news : message.news) {
+    mirror_.TakeNews(news, now);
   }
   for (const ServiceDemand& demand : message.demands) {
     const auto service = keys_.find(demand.service);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -36,47 +36,56 @@
   }
   AddKeyServices();
   FinishItems(now);
+  news_.Reset(contents.revision);
 }
 
 void RoutingDaemon::TakeChanges(const Store::Changes& changes) {
   const Instant now = BootNow();
   for (const StoreEvent& event : changes.events) {
-    if (event.removed) {
-      RemoveItem(event.item.key);
-    } else {
-      TakeItem(event.item, now);
+    const bool is_new = event.removed ? RemoveItem(event.item.key) : TakeItem(event.item, now);
+    if (is_new) {
+      news_.Add(event);
     }
   }
   FinishItems(now);
+  next_news_ = now;
 }
 
-void RoutingDaemon::TakeItem(const StoreItem& item, Instant now) {
-  std::string problem;
+bool RoutingDaemon::TakeItem(const StoreItem& item, Instant now) {
   if (formats_.directory.IsConfig(item.key)) {
-    TakeConfig(item.value);
-  } else if (formats_.directory.IsEndpoint(item.key)) {
-    const auto entry = formats_.directory.ReadEndpoint(item, problem);
-    if (!entry) {
-      log_.Warning("entry not understood key=" + item.key + " reason=" + problem);
-      return;
-    }
-    const EndpointState* known = fleet_.Find(entry->id);
-    const bool changed = known == nullptr || known->entry.draining != entry->draining ||
-                         known->entry.incarnation != entry->incarnation;
-    if (changed) {
-      log_.Info("endpoint listed id=" + entry->id.value() + " service=" + entry->service.value() +
-                " address=" + ToString(entry->address) + " domain=" + entry->domain.value() +
-                (entry->draining ? " draining" : " ready") +
-                " start=" + std::to_string(entry->incarnation.value) +
-                " revision=" + std::to_string(item.revision.value));
-    }
-    fleet_.Put(*entry, now);
-  } else if (item.key.starts_with(kDaemonPrefix)) {
+    return TakeConfig(item.value);
+  }
+  if (formats_.directory.IsEndpoint(item.key)) {
+    return TakeEndpoint(item, now);
+  }
+  if (item.key.starts_with(kDaemonPrefix)) {
     registry_.Put(item);
   } else if (item.key.starts_with(kOwnershipPrefix)) {
     records_[item.key] = item;
     TakeRecordItem(item);
   }
+  return true;
+}
+
+bool RoutingDaemon::TakeEndpoint(const StoreItem& item, Instant now) {
+  std::string problem;
+  const auto entry = formats_.directory.ReadEndpoint(item, problem);
+  if (!entry) {
+    log_.Warning("entry not understood key=" + item.key + " reason=" + problem);
+    return false;
+  }
+  const EndpointState* known = fleet_.Find(entry->id);
+  // Endpoints write again and again that they are there.
+  if (known != nullptr && known->entry.SameButWarmUp(*entry)) {
+    return false;
+  }
+  log_.Info("endpoint listed id=" + entry->id.value() + " service=" + entry->service.value() +
+            " address=" + ToString(entry->address) + " domain=" + entry->domain.value() +
+            (entry->draining ? " draining" : " ready") +
+            " start=" + std::to_string(entry->incarnation.value) +
+            " revision=" + std::to_string(item.revision.value));
+  fleet_.Put(*entry, now);
+  return true;
 }
 
 void RoutingDaemon::TakeRecordItem(const StoreItem& item) {
@@ -94,32 +103,37 @@
   }
 }
 
-void RoutingDaemon::RemoveItem(const std::string& key) {
+bool RoutingDaemon::RemoveItem(const std::string& key) {
   if (formats_.directory.IsEndpoint(key)) {
     const InstanceId id = formats_.directory.EndpointOf(key);
     log_.Info("endpoint gone id=" + id.value());
     fleet_.Remove(id);
     pool_.Forget(id.value());
-  } else if (key.starts_with(kDaemonPrefix)) {
+    return true;
+  }
+  if (key.starts_with(kDaemonPrefix)) {
     log_.Info("daemon gone key=" + key);
     registry_.Remove(key);
+    return true;
   }
+  return false;
 }
 
-void RoutingDaemon::TakeConfig(const std::string& text) {
+bool RoutingDaemon::TakeConfig(const std::string& text) {
   std::string problem;
   auto config = formats_.directory.ReadConfig(text, problem);
   if (!config) {
     log_.Error("configuration not understood reason=" + problem);
-    return;
+    return false;
   }
   if (routes_ && config->version <= routes_->config().version) {
-    return;
+    return false;
   }
   log_.Info("configuration in force version=" + std::to_string(config->version) +
             " routes=" + std::to_string(config->routes.size()));
   routes_ = std::make_shared<RouteTable>(std::move(*config));
   AddKeyServices();
+  return true;
 }
 
 void RoutingDaemon::AddKeyServices() {
