Ask the owner of a key again after a refusal, a break or a slow connect

Change: up to three sendings to the owner, after pauses of 60 ms and more, within the budget of retries and only if the owner is not thought to be full, or for safe requests that broke off; a connect may take a quarter of the aim (120 to 400 ms), and one that was not answered is tried again at once, as nothing was sent. Ruled out: full owners (loads in the lines are below the slots); cut domains (3,000 of the refusals, from second 30 on). Test: tests/router 'the owner of a key is asked again' (failed before).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -62,6 +62,7 @@
     case CallVerdict::kAnswered:
       return {};
     case CallVerdict::kNotConnected:
+    case CallVerdict::kConnectTimedOut:
       return ClientError::kNotConnected;
     case CallVerdict::kTimedOut:
       return ClientError::kTimeout;
@@ -75,7 +76,7 @@
 CallResult Translate(sycamorestall::CallResult from) {
   CallResult result;
   result.error = Translate(from.verdict);
-  result.perhaps_sent = from.verdict != CallVerdict::kNotConnected;
+  result.perhaps_sent = !NothingWasSent(from.verdict);
   if (result.error) {
     return result;
   }
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -209,14 +209,14 @@
 
 void HttpConnection::CheckTimeouts(Instant now) {
   if (phase_ == Phase::kConnecting && now > connect_until_) {
-    Fail(CallVerdict::kNotConnected, "connecting took too long");
+    Fail(CallVerdict::kConnectTimedOut, "connecting took too long");
     return;
   }
   const bool calling = phase_ == Phase::kCalling || phase_ == Phase::kConnecting;
   if (calling && call_.give_up_at && now > *call_.give_up_at) {
     const bool connected = phase_ == Phase::kCalling;
     ResetOnClose(socket_);
-    Fail(connected ? CallVerdict::kTimedOut : CallVerdict::kNotConnected, "no answer in time");
+    Fail(connected ? CallVerdict::kTimedOut : CallVerdict::kConnectTimedOut, "no answer in time");
   }
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -19,6 +19,8 @@
   kAnswered,
   // The connection could not be made, so no byte of the request was sent.
   kNotConnected,
+  // The same, as nothing was heard in time: the peer may be well behind a busy link.
+  kConnectTimedOut,
   // No whole answer came although bytes of the request may have been read.
   kBroken,
   // The same, by the time at which the call was to be given up.
@@ -28,6 +30,11 @@
   kStaleConnection,
 };
 
+// Whether no byte of a call's request was sent.
+inline bool NothingWasSent(CallVerdict verdict) {
+  return verdict == CallVerdict::kNotConnected || verdict == CallVerdict::kConnectTimedOut;
+}
+
 // How a call ended, with the answer if there is one.
 struct CallResult {
   CallVerdict verdict = CallVerdict::kBroken;
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -206,7 +206,7 @@
   } else {
     log_.Warning("order unanswered service=" + settings_.service.value() +
                  " order=" + std::to_string(order) + " reason=" + result.reason);
-    leader_.TakeSilence(order, result.verdict != CallVerdict::kNotConnected, now);
+    leader_.TakeSilence(order, !NothingWasSent(result.verdict), now);
   }
   RunActions();
 }
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -11,7 +11,15 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kConnectTimeout{120};
+// A connection may take this share of the aim to be made, within bounds: on a busy
+// link the first packet waits behind other requests.
+constexpr double kConnectShare = 0.25;
+constexpr std::chrono::milliseconds kLeastConnectTimeout{120};
+constexpr std::chrono::milliseconds kMostConnectTimeout{400};
+// The owner of a key is the only one to ask. One that broke off, or had no place
+// though it was not thought to be full, is asked again after a pause that grows.
+constexpr std::chrono::milliseconds kOwnerPause{60};
+constexpr int kMaxSendingsToOwner = 3;
 // The share of the aim for which a request may wait for its key's next owner.
 constexpr double kOwnerWaitShare = 0.4;
 // What is kept back of the caller's time for the answer's way.
@@ -30,6 +38,11 @@
   return kind == RequestKind::kUpload ? kOtherDomainFactorOfUploads : kOtherDomainFactor;
 }
 
+Duration ConnectTimeout(const Route& route) {
+  const auto share = std::chrono::duration_cast<Duration>(route.aim * kConnectShare);
+  return std::clamp<Duration>(share, kLeastConnectTimeout, kMostConnectTimeout);
+}
+
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
@@ -128,6 +141,10 @@
     WaitForOwner(now);
     return;
   }
+  if (may_have_run_ && *owner != endpoint_ && arrivals_ >= route_->max_attempts) {
+    Refuse("no tries left", kRetryAfterDeclined, now);
+    return;
+  }
   if (!context_.domains.MayTry(endpoint->entry.domain, now)) {
     Refuse("owner out of reach", kRetryAfterUnreachable, now);
     return;
@@ -162,6 +179,7 @@
 
 void RequestRelay::Send(const EndpointState& endpoint, Instant now) {
   state_ = State::kAtEndpoint;
+  ++sendings_;
   endpoint_ = endpoint.entry.id;
   sent_at_ = now;
   sent_rounds_ = endpoint.rounds();
@@ -170,7 +188,7 @@
                                                    endpoint_, TimeLeft(now) - kWayBack);
   call.message.body = exchange_->body();
   call.head_request = exchange_->request().method() == boost::beast::http::verb::head;
-  call.connect_timeout = kConnectTimeout;
+  call.connect_timeout = ConnectTimeout(*route_);
   context_.fleet.BeginRequest(endpoint_);
   call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
                              [self = shared_from_this()](CallResult result) {
@@ -193,12 +211,9 @@
       HearDomain(now);
       TakeAnswer(std::move(result.answer), now);
       return;
+    case CallVerdict::kConnectTimedOut:
     case CallVerdict::kNotConnected:
-      EndAttempt(EndpointEvidence::kUnreachable, now);
-      if (!RetryElsewhere(false, now)) {
-        Refuse("no connection: " + result.reason,
-               keyed_ ? kRetryAfterUnreachable : kRetryAfterDeclined, now);
-      }
+      TakeNoConnection(result, now);
       return;
     case CallVerdict::kBroken:
     case CallVerdict::kTimedOut:
@@ -215,9 +230,22 @@
   }
 }
 
+void RequestRelay::TakeNoConnection(const CallResult& result, Instant now) {
+  EndAttempt(EndpointEvidence::kUnreachable, now);
+  const bool may_be_well = result.verdict == CallVerdict::kConnectTimedOut;
+  if ((may_be_well && RetryOwner(false, now)) || RetryElsewhere(false, now)) {
+    return;
+  }
+  Refuse("no connection: " + result.reason, keyed_ ? kRetryAfterUnreachable : kRetryAfterDeclined,
+         now);
+}
+
 void RequestRelay::TakeBreak(const std::string& reason, bool stale, Instant now) {
   EndAttempt(stale ? EndpointEvidence::kDeclined : EndpointEvidence::kUnreachable, now);
   may_have_run_ = true;
+  if (IsSafe() && RetryOwner(true, now)) {
+    return;
+  }
   // After a stale connection the endpoint itself may be well.
   if (!stale) {
     tried_.insert(endpoint_);
@@ -248,7 +276,7 @@
       [[fallthrough]];
     case AnswerMeaning::kNotRun:
       EndAttempt(EndpointEvidence::kDeclined, now);
-      if (!RetryElsewhere(true, now)) {
+      if (!(OwnerHasRoom() && RetryOwner(true, now)) && !RetryElsewhere(true, now)) {
         Refuse("endpoint declined", kRetryAfterDeclined, now);
       }
       return;
@@ -258,6 +286,22 @@
   TakeBreak("answer not valid", false, now);
 }
 
+bool RequestRelay::RetryOwner(bool arrived, Instant now) {
+  const bool allowed =
+      keyed_ && sendings_ < kMaxSendingsToOwner && TimeLeft(now) > kOwnerPause + kWayBack;
+  if (!allowed || (arrived && !context_.retries.TakeRetry(service_, context_.daemons, now))) {
+    return false;
+  }
+  state_ = State::kPausing;
+  pausing_until_ = arrived ? now + kOwnerPause * sendings_ : now;
+  return true;
+}
+
+bool RequestRelay::OwnerHasRoom() const {
+  const EndpointState* owner = context_.fleet.Find(endpoint_);
+  return owner != nullptr && owner->load() < owner->entry.slots;
+}
+
 bool RequestRelay::RetryElsewhere(bool arrived, Instant now) {
   tried_.insert(endpoint_);
   return Retry(arrived, now);
@@ -298,7 +342,7 @@
     }
     return;
   }
-  if (state_ == State::kWaitingForOwner) {
+  if (state_ == State::kWaitingForOwner || (state_ == State::kPausing && now >= pausing_until_)) {
     Offer(now);
   }
 }
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -47,7 +47,7 @@
 
  private:
   // What a waiting request waits for.
-  enum class State { kNew, kWaitingForOwner, kAtEndpoint };
+  enum class State { kNew, kWaitingForOwner, kPausing, kAtEndpoint };
 
   void Offer(Instant now);
   void OfferToOwner(Instant now);
@@ -55,10 +55,16 @@
   void TakeResult(CallResult result, Instant now);
   void TakeAnswer(HttpAnswer answer, Instant now);
   void HearDomain(Instant now);
+  void TakeNoConnection(const CallResult& result, Instant now);
   void TakeBreak(const std::string& reason, bool stale, Instant now);
   // Sends the request again, if that is allowed, to an endpoint that was not
   // excluded; false when it is not. Only what arrived counts as a retry.
   bool Retry(bool arrived, Instant now);
+  // The same, to the owner of the request's key: at once if it was not reached, else
+  // after a pause.
+  bool RetryOwner(bool arrived, Instant now);
+  // Whether the endpoint that the request went to is thought to have a free slot.
+  bool OwnerHasRoom() const;
   // The same, to another endpoint than the last.
   bool RetryElsewhere(bool arrived, Instant now);
   void WaitForOwner(Instant now);
@@ -92,6 +98,9 @@
   double sent_rounds_ = 1;
   ConnectionPool::CallHandle call_;
   std::set<InstanceId> tried_;
+  // How often the request was sent, and until when it pauses before the next time.
+  int sendings_ = 0;
+  Instant pausing_until_;
   // How many endpoints the request has reached.
   int arrivals_ = 0;
   bool may_have_run_ = false;
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -58,7 +58,7 @@
     const Instant now = BootNow();
     for (const Work& each : work_) {
       if (now >= each.done_at) {
-        Finish(*each.exchange);
+        Finish(*each.exchange, each.trouble);
       }
     }
     std::erase_if(work_, [now](const Work& each) { return now >= each.done_at; });
@@ -151,13 +151,26 @@
   exchange.Answer(std::move(message));
 }
 
+EndpointTrouble KeyEndpoint::TroubleOf(const std::string& id) {
+  const bool first = seen_.insert(id).second;
+  if (trouble_ == EndpointTrouble::kFullAtFirst) {
+    return first ? EndpointTrouble::kFull : EndpointTrouble::kNone;
+  }
+  if (trouble_ == EndpointTrouble::kForeignIdAtFirst) {
+    return first ? EndpointTrouble::kForeignId : EndpointTrouble::kNone;
+  }
+  return trouble_;
+}
+
 void KeyEndpoint::TakeRequest(std::shared_ptr<CallerExchange> exchange) {
   const std::lock_guard lock{mutex_};
   const std::string target{exchange->request().target()};
   const std::string expected = Value(*exchange, "X-Expect-Instance");
   const bool is_foreign = !expected.empty() && expected != id_;
   const bool is_order = target == "/v1/grant" || target == "/v1/release";
-  const bool is_full = !is_order && trouble_ == EndpointTrouble::kFull;
+  const EndpointTrouble trouble =
+      is_order ? EndpointTrouble::kNone : TroubleOf(Value(*exchange, "X-Request-Id"));
+  const bool is_full = trouble == EndpointTrouble::kFull;
   const auto key = static_cast<KeyNumber>(std::stoul("0" + Value(*exchange, "X-Shard-Key")));
   const bool is_not_held = owns_keys_ && !is_order && !is_full && !HoldsNow(key);
   if (is_foreign || is_not_held) {
@@ -170,18 +183,18 @@
     TakeRelease(*exchange);
   } else {
     ++runs_[Value(*exchange, "X-Request-Id")];
-    work_.push_back({std::move(exchange), BootNow() + work_time_});
+    work_.push_back({std::move(exchange), trouble, BootNow() + work_time_});
   }
 }
 
-void KeyEndpoint::Finish(CallerExchange& exchange) {
-  if (trouble_ == EndpointTrouble::kSilent || exchange.abandoned()) {
+void KeyEndpoint::Finish(CallerExchange& exchange, EndpointTrouble trouble) {
+  if (trouble == EndpointTrouble::kSilent || exchange.abandoned()) {
     return;
   }
-  const bool foreign = trouble_ == EndpointTrouble::kForeignId;
+  const bool foreign = trouble == EndpointTrouble::kForeignId;
   OutgoingMessage message;
   message.body = std::make_shared<const std::string>("ran " + Value(exchange, "X-Request-Id"));
-  message.head = StatusLine(trouble_ == EndpointTrouble::kFailing ? 500 : 200);
+  message.head = StatusLine(trouble == EndpointTrouble::kFailing ? 500 : 200);
   AppendHeader(message.head, "X-Request-Id", foreign ? "another" : Value(exchange, "X-Request-Id"));
   AppendHeader(message.head, "X-Server-Stamp", "stamp-" + id_);
   AppendHeader(message.head, "Content-Length", std::to_string(message.body->size()));
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -25,6 +25,9 @@
   kFailing,
   // Runs the request and says nothing.
   kSilent,
+  // Does so with each request that comes for the first time.
+  kFullAtFirst,
+  kForeignIdAtFirst,
 };
 
 // A stand-in for an endpoint of the platform: takes grants and releases of keys,
@@ -58,6 +61,7 @@
   };
   struct Work {
     std::shared_ptr<CallerExchange> exchange;
+    EndpointTrouble trouble = EndpointTrouble::kNone;
     Instant done_at;
   };
 
@@ -65,8 +69,10 @@
   void TakeGrant(CallerExchange& exchange);
   void TakeRelease(CallerExchange& exchange);
   bool HoldsNow(KeyNumber key) const;
+  // How a request is treated that comes now.
+  EndpointTrouble TroubleOf(const std::string& id);
   void Refuse(CallerExchange& exchange, unsigned status);
-  void Finish(CallerExchange& exchange);
+  void Finish(CallerExchange& exchange, EndpointTrouble trouble);
   void Run();
 
   const std::string id_;
@@ -79,6 +85,7 @@
   std::uint64_t highest_token_ = 0;
   std::string last_handover_;
   std::map<std::string, int> runs_;
+  std::set<std::string> seen_;
   std::vector<Work> work_;
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;
   EndpointTrouble trouble_ = EndpointTrouble::kNone;
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -32,10 +32,12 @@
 
 std::size_t CountRuns(RouterDeployment& deployment, const std::string& id) {
   std::size_t runs = 0;
-  for (const auto& endpoint : deployment.pumps) {
-    const auto found = endpoint->Runs();
-    const auto own = found.find(id);
-    runs += own == found.end() ? 0 : static_cast<std::size_t>(own->second);
+  for (const auto* endpoints : {&deployment.soil, &deployment.pumps}) {
+    for (const auto& endpoint : *endpoints) {
+      const auto found = endpoint->Runs();
+      const auto own = found.find(id);
+      runs += own == found.end() ? 0 : static_cast<std::size_t>(own->second);
+    }
   }
   return runs;
 }
@@ -101,6 +103,30 @@
   }
 }
 
+TEST_CASE("the owner of a key is asked again when it had no place or broke off") {
+  struct Row {
+    std::string name;
+    EndpointTrouble trouble;
+    int status;
+    std::size_t runs;
+  };
+  const Row rows[] = {{"full-at-first", EndpointTrouble::kFullAtFirst, 200, 1},
+                      {"broken-at-first", EndpointTrouble::kForeignIdAtFirst, 200, 2},
+                      {"full-each-time", EndpointTrouble::kFull, 503, 0}};
+  RouterDeployment deployment{1, 2, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    for (const auto& endpoint : deployment.soil) {
+      endpoint->SetTrouble(row.trouble);
+    }
+    const CallerAnswer answer =
+        deployment.Ask(0, {.path = "/soil/1", .id = row.name, .key = 5, .patience_ms = 1500});
+    CHECK(answer.status == row.status);
+    CHECK(CountRuns(deployment, row.name) == row.runs);
+  }
+}
+
 TEST_CASE("a route's timeout and the caller's patience both end a request") {
   struct Row {
     std::string name;
