A fault soak: real daemons under load while everything around them goes wrong

Processes are killed, paused, stopped and restarted; proxies on loopback delay, reset, cut one way or silence the links to the store and to the endpoints; the store turns calls away, loses answers and its history; endpoints restart, leave and fail. Checked meanwhile: one owner a key, work that is not idempotent at most once, refusals true, answers whole and the caller's own, ends of processes, and service back in the end.

--- /dev/null
+++ b/tests/fakes/fault_proxy.cc
@@ -0,0 +1,181 @@
+#include "fakes/fault_proxy.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cerrno>
+#include <chrono>
+#include <utility>
+
+#include "net/socket_options.h"
+
+namespace sycamorestall::fakes {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kDelay{120};
+// How often held bytes are looked at again.
+constexpr std::chrono::milliseconds kHoldStep{10};
+constexpr std::size_t kBufferBytes = std::size_t{64} * 1024;
+
+// Whether the peer has closed or reset the connection.
+bool IsGone(tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t size = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace
+
+// A connection of a client, and the one to the target that belongs to it.
+class FaultProxy::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(FaultProxy& proxy, tcp::socket client)
+      : proxy_(proxy), client_(std::move(client)), target_(proxy.context_) {}
+
+  void Start() {
+    const tcp::endpoint endpoint{asio::ip::make_address(proxy_.target_.host), proxy_.target_.port};
+    target_.async_connect(endpoint,
+                          [self = shared_from_this()](const boost::system::error_code& error) {
+                            if (error) {
+                              self->Reset();
+                              return;
+                            }
+                            self->to_target_.Read(self);
+                            self->to_client_.Read(self);
+                          });
+  }
+
+  void Reset() {
+    boost::system::error_code ignored;  // Closed either way.
+    for (tcp::socket* socket : {&client_, &target_}) {
+      if (socket->is_open()) {
+        ResetOnClose(*socket);
+        socket->close(ignored);
+      }
+    }
+  }
+
+ private:
+  // One direction.
+  struct Way {
+    Way(Connection& connection, tcp::socket& from_socket, tcp::socket& to_socket, bool is_answer)
+        : from(from_socket), to(to_socket), answers(is_answer), timer(connection.proxy_.context_) {}
+
+    void Read(const std::shared_ptr<Connection>& owner) {
+      from.async_read_some(asio::buffer(buffer),
+                           [this, owner](const boost::system::error_code& error, std::size_t size) {
+                             if (error) {
+                               End(owner, error);
+                               return;
+                             }
+                             const bool delayed = owner->proxy_.fault_ == LinkFault::kDelayed;
+                             Hold(owner, size, delayed ? kDelay : std::chrono::milliseconds{0});
+                           });
+    }
+
+    void End(const std::shared_ptr<Connection>& owner, const boost::system::error_code& error) {
+      boost::system::error_code ignored;  // The other direction shows what is left.
+      if (error == asio::error::eof) {
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+      } else {
+        owner->Reset();
+      }
+    }
+
+    void Hold(const std::shared_ptr<Connection>& owner, std::size_t size,
+              std::chrono::milliseconds time) {
+      if (time.count() == 0 && !IsHeld(owner->proxy_.fault_)) {
+        Write(owner, size);
+        return;
+      }
+      timer.expires_after(time.count() > 0 ? time : kHoldStep);
+      timer.async_wait([this, owner, size](const boost::system::error_code& error) {
+        if (error || !from.is_open() || IsGone(from)) {
+          owner->Reset();
+          return;
+        }
+        Hold(owner, size, std::chrono::milliseconds{0});
+      });
+    }
+
+    bool IsHeld(LinkFault fault) const {
+      return fault == LinkFault::kSilent || (fault == LinkFault::kAnswersLost && answers);
+    }
+
+    void Write(const std::shared_ptr<Connection>& owner, std::size_t size) {
+      asio::async_write(to, asio::buffer(buffer, size),
+                        [this, owner](const boost::system::error_code& error, std::size_t) {
+                          if (error) {
+                            owner->Reset();
+                            return;
+                          }
+                          Read(owner);
+                        });
+    }
+
+    tcp::socket& from;
+    tcp::socket& to;
+    const bool answers;
+    asio::steady_timer timer;
+    std::array<char, kBufferBytes> buffer{};
+  };
+
+  FaultProxy& proxy_;
+  tcp::socket client_;
+  tcp::socket target_;
+  Way to_target_{*this, client_, target_, false};
+  Way to_client_{*this, target_, client_, true};
+};
+
+FaultProxy::FaultProxy(NetworkAddress target)
+    : target_(std::move(target)),
+      acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
+      address_{"127.0.0.1", acceptor_.local_endpoint().port()} {
+  Accept();
+  thread_ = std::thread([this] { context_.run(); });
+}
+
+FaultProxy::~FaultProxy() {
+  context_.stop();
+  thread_.join();
+}
+
+void FaultProxy::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+    if (error) {
+      return;
+    }
+    auto connection = std::make_shared<Connection>(*this, std::move(socket));
+    if (fault_ == LinkFault::kReset) {
+      connection->Reset();
+    } else {
+      std::erase_if(connections_, [](const auto& each) { return each.expired(); });
+      connections_.push_back(connection);
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void FaultProxy::SetFault(LinkFault fault) {
+  fault_ = fault;
+  if (fault != LinkFault::kReset) {
+    return;
+  }
+  asio::post(context_, [this] {
+    for (const auto& each : connections_) {
+      if (const auto connection = each.lock()) {
+        connection->Reset();
+      }
+    }
+  });
+}
+
+}  // namespace sycamorestall::fakes
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -70,6 +70,13 @@
   trouble_ = trouble;
 }
 
+void KeyEndpoint::Restart() {
+  const std::lock_guard lock{mutex_};
+  grants_.clear();
+  last_handover_.clear();
+  work_.clear();
+}
+
 void KeyEndpoint::SetWork(std::chrono::milliseconds work) {
   const std::lock_guard lock{mutex_};
   work_time_ = work;
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -41,6 +41,8 @@
   const std::string& id() const { return id_; }
   NetworkAddress address() const { return address_; }
   void SetTrouble(EndpointTrouble trouble);
+  // Forgets its keys, as a new start does; what runs is lost with its connections.
+  void Restart();
   void SetWork(std::chrono::milliseconds work);
   // How often each request id was run here.
   std::map<std::string, int> Runs();
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -86,14 +86,16 @@
 
 }  // namespace
 
-RouterDeployment::RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints)
-    : folder_(MakeFolder()) {
+RouterDeployment::RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints, Links links)
+    : link_kind_(links), folder_(MakeFolder()) {
   for (int i = 0; i < soil_endpoints; ++i) {
     soil.push_back(std::make_unique<fakes::KeyEndpoint>("soil-" + std::to_string(i), true));
+    endpoint_addresses_[soil.back()->id()] = Behind(soil.back()->address());
     Enlist(*soil.back());
   }
   for (int i = 0; i < pump_endpoints; ++i) {
     pumps.push_back(std::make_unique<fakes::KeyEndpoint>("pump-" + std::to_string(i), false));
+    endpoint_addresses_[pumps.back()->id()] = Behind(pumps.back()->address());
     Enlist(*pumps.back());
   }
   Configure(1);
@@ -109,7 +111,8 @@
         << "[daemon]\ninstance = \"" << name
         << "\"\ndomain = \"north\"\ncallers = " << Local(daemon.callers)
         << "readiness = " << Local(daemon.readiness) << "metrics = " << Local(daemon.metrics)
-        << "peer = " << Local(FreePort()) << "[store]\naddress = " << Local(store.address().port);
+        << "peer = " << Local(FreePort())
+        << "[store]\naddress = " << Local(Behind(store.address()).port);
     daemons_.push_back(daemon);
     StartDaemon(daemons_.size() - 1);
   }
@@ -146,6 +149,22 @@
   }
 }
 
+bool RouterDeployment::IsRunning(std::size_t number) {
+  Daemon& daemon = daemons_.at(number);
+  if (daemon.process > 0 && waitpid(daemon.process, nullptr, WNOHANG) == daemon.process) {
+    daemon.process = 0;
+  }
+  return daemon.process > 0;
+}
+
+NetworkAddress RouterDeployment::Behind(const NetworkAddress& target) {
+  if (link_kind_ == Links::kStraight) {
+    return target;
+  }
+  links.push_back(std::make_unique<fakes::FaultProxy>(target));
+  return links.back()->address();
+}
+
 void RouterDeployment::Signal(std::size_t number, int signal) {
   kill(daemons_.at(number).process, signal);
 }
@@ -195,7 +214,7 @@
                               std::uint64_t start) {
   const bool owns_keys = endpoint.id().starts_with("soil");
   const json entry{{"service", owns_keys ? "soil" : "pumps"},
-                   {"address", ToString(endpoint.address())},
+                   {"address", ToString(endpoint_addresses_.at(endpoint.id()))},
                    {"zone", "north"},
                    {"version", "v1"},
                    {"max_concurrency", 6},
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "fakes/fault_proxy.h"
 #include "fakes/key_endpoint.h"
 #include "fakes/key_value_store.h"
 
@@ -31,12 +32,16 @@
   std::string body = {};
 };
 
+// How daemons reach the store and the endpoints.
+enum class Links { kStraight, kThroughProxies };
+
 // Routing daemons as real processes, with a stand-in store and stand-in endpoints.
 // Of its services, soil owns keys and its requests are safe; pumps owns none and
 // its requests are not.
 class RouterDeployment {
  public:
-  RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints);
+  RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints,
+                   Links links = Links::kStraight);
   ~RouterDeployment();
   RouterDeployment(const RouterDeployment&) = delete;
   RouterDeployment& operator=(const RouterDeployment&) = delete;
@@ -55,6 +60,9 @@
   // Waits for the end of a daemon and gives its exit status; -1 if it was killed
   // or goes on for longer than so many seconds.
   int Await(std::size_t number, int seconds = 10);
+  // Whether a daemon's process is there; one that has ended is taken leave of.
+  bool IsRunning(std::size_t number);
+  std::uint16_t CallersPort(std::size_t number) const { return daemons_.at(number).callers; }
   // What a daemon has written so far.
   std::string Log(std::size_t number) const;
 
@@ -65,6 +73,8 @@
   fakes::KeyValueStore store;
   std::vector<std::unique_ptr<fakes::KeyEndpoint>> soil;
   std::vector<std::unique_ptr<fakes::KeyEndpoint>> pumps;
+  // Proxies: one for each endpoint, and one for each daemon's way to the store.
+  std::vector<std::unique_ptr<fakes::FaultProxy>> links;
 
  private:
   struct Daemon {
@@ -76,6 +86,12 @@
     std::string log;
   };
 
+  // A proxy in front of the target, or the target itself.
+  NetworkAddress Behind(const NetworkAddress& target);
+
+  const Links link_kind_;
+  // Where daemons reach each endpoint.
+  std::map<std::string, NetworkAddress> endpoint_addresses_;
   std::string folder_;
   std::vector<Daemon> daemons_;
   int next_id_ = 1;
