Pass large values of the store on compressed, and give long answers on busy links time

Change: values over 1 KB go compressed (zlib; 300 KB of routes fit into one datagram); each part of a store's answer that comes allows 1.5 s more; after a call without any answer the next ones get twice the time.

A leader was paused for 3.2 s and went on renewing with its old token; the endpoint's stand-in forgot the tokens that it had seen with each release, so it took that grant. It remembers them now, as real endpoints do.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,5 +1,6 @@
 #include "net/http_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -153,6 +154,9 @@
   }
   buffer_.commit(size);
   got_bytes_ = got_bytes_ || size > 0;
+  if (call_.more_time && call_.give_up_at) {
+    call_.give_up_at = std::max(*call_.give_up_at, BootNow() + *call_.more_time);
+  }
   ParseAnswer(error == asio::error::eof);
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -53,6 +53,9 @@
   Duration connect_timeout{};
   // No answer by then ends the call; unset: no limit.
   std::optional<Instant> give_up_at;
+  // Each part of the answer that comes allows so much time more: a long answer may
+  // take long on a busy link. Unset: it does not.
+  std::optional<Duration> more_time;
 };
 
 // A connection that carries one request at a time. Used on the loop's thread.
--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -32,8 +32,8 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, StoreEvent& event) {
-  archive(event.item.key, event.item.value, event.item.revision, event.removed);
+void serialize(Archive& archive, NewsEvent& event) {
+  archive(event.key, event.value, event.revision, event.removed, event.unpacked_bytes);
 }
 template <typename Archive>
 void serialize(Archive& archive, StoreNews& news) {
--- a/src/store/store_mirror.cc
+++ b/src/store/store_mirror.cc
@@ -1,6 +1,8 @@
 #include "store/store_mirror.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace sycamorestall {
 
@@ -12,7 +14,7 @@
 // connection is found soon.
 constexpr std::chrono::milliseconds kWatchWait{800};
 constexpr std::chrono::milliseconds kFirstRetry{100};
-constexpr std::uint32_t kMaxDoublings = 4;
+constexpr std::uint32_t kMaxDoublings = 3;
 // Who has heard nothing for longer reads everything: that is less than all that
 // happened meanwhile.
 constexpr std::chrono::milliseconds kLongGap{4000};
@@ -93,9 +95,20 @@
     return;
   }
   informed_at_ = std::max(informed_at_, now - std::chrono::milliseconds{news.answered_ms_ago});
-  if (news.revision > revision_) {
-    PassOn(news.events, news.revision);
+  if (news.revision <= revision_) {
+    return;
+  }
+  std::vector<StoreEvent> events;
+  for (const NewsEvent& each : news.events) {
+    auto event = UnpackEvent(each);
+    if (!event) {
+      // Not to be read: the store is asked for it.
+      missed_until_ = std::max(missed_until_, news.revision);
+      return;
+    }
+    events.push_back(std::move(*event));
   }
+  PassOn(events, news.revision);
 }
 
 void StoreMirror::TakeOtherCall(std::error_code error) {
--- a/src/store/store_news.h
+++ b/src/store/store_news.h
@@ -1,12 +1,31 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "store/store.h"
 
 namespace sycamorestall {
 
+// An event as it goes from daemon to daemon: large values are compressed.
+struct NewsEvent {
+  std::string key;
+  std::string value;
+  Revision revision;
+  bool removed = false;
+  // How long the value is when it is not compressed any more; 0 says that it is not.
+  std::uint32_t unpacked_bytes = 0;
+
+  friend bool operator==(const NewsEvent&, const NewsEvent&) = default;
+};
+
+// Makes an event ready to be passed on.
+NewsEvent PackEvent(const StoreEvent& event);
+// The event as the store gave it; empty when its value cannot be read.
+std::optional<StoreEvent> UnpackEvent(const NewsEvent& event);
+
 // What a daemon that watches the store passes on to the others of its domain.
 struct StoreNews {
   // The events are those between the two revisions, but for what told nothing new.
@@ -14,7 +33,7 @@
   Revision revision;
   // How long ago the store last answered the daemon that passes this on.
   std::uint32_t answered_ms_ago = 0;
-  std::vector<StoreEvent> events;
+  std::vector<NewsEvent> events;
 
   friend bool operator==(const StoreNews&, const StoreNews&) = default;
 };
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -73,6 +73,7 @@
 void KeyEndpoint::Restart() {
   const std::lock_guard lock{mutex_};
   grants_.clear();
+  std::fill(seen_tokens_.begin(), seen_tokens_.end(), 0);
   last_handover_.clear();
   work_.clear();
 }
@@ -108,12 +109,13 @@
   const json body = json::parse(*exchange.body());
   const KeyRange range = RangeOf(body);
   const auto token = body.at("fence").get<std::uint64_t>();
-  for (const Grant& each : grants_) {
-    if (each.range.Overlaps(range) && each.token > token) {
-      AnswerJson(exchange, 409, json::object());
-      return;
-    }
+  const auto begin = seen_tokens_.begin() + range.first;
+  const auto end = seen_tokens_.begin() + range.last + 1;
+  if (std::any_of(begin, end, [token](std::uint64_t seen) { return seen > token; })) {
+    AnswerJson(exchange, 409, json::object());
+    return;
   }
+  std::fill(begin, end, token);
   if (body.contains("handover")) {
     last_handover_ = body["handover"].get<std::string>();
   }
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -84,7 +84,8 @@
   NetworkAddress address_;
   std::unique_ptr<CallerListener> listener_;
   std::vector<Grant> grants_;
-  std::uint64_t highest_token_ = 0;
+  // The highest token that was seen for each key, also after a release.
+  std::vector<std::uint64_t> seen_tokens_ = std::vector<std::uint64_t>(kKeyCount, 0);
   std::string last_handover_;
   std::map<std::string, int> runs_;
   std::set<std::string> seen_;
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -90,12 +90,12 @@
     : link_kind_(links), folder_(MakeFolder()) {
   for (int i = 0; i < soil_endpoints; ++i) {
     soil.push_back(std::make_unique<fakes::KeyEndpoint>("soil-" + std::to_string(i), true));
-    endpoint_addresses_[soil.back()->id()] = Behind(soil.back()->address());
+    PutBehind(*soil.back());
     Enlist(*soil.back());
   }
   for (int i = 0; i < pump_endpoints; ++i) {
     pumps.push_back(std::make_unique<fakes::KeyEndpoint>("pump-" + std::to_string(i), false));
-    endpoint_addresses_[pumps.back()->id()] = Behind(pumps.back()->address());
+    PutBehind(*pumps.back());
     Enlist(*pumps.back());
   }
   Configure(1);
@@ -165,6 +165,12 @@
   return links.back()->address();
 }
 
+void RouterDeployment::PutBehind(const fakes::KeyEndpoint& endpoint) {
+  if (link_kind_ == Links::kThroughProxies) {
+    proxied_[endpoint.id()] = Behind(endpoint.address());
+  }
+}
+
 void RouterDeployment::Signal(std::size_t number, int signal) {
   kill(daemons_.at(number).process, signal);
 }
@@ -213,8 +219,9 @@
 void RouterDeployment::Enlist(const fakes::KeyEndpoint& endpoint, const std::string& state,
                               std::uint64_t start) {
   const bool owns_keys = endpoint.id().starts_with("soil");
+  const bool proxied = proxied_.contains(endpoint.id());
   const json entry{{"service", owns_keys ? "soil" : "pumps"},
-                   {"address", ToString(endpoint_addresses_.at(endpoint.id()))},
+                   {"address", ToString(proxied ? proxied_.at(endpoint.id()) : endpoint.address())},
                    {"zone", "north"},
                    {"version", "v1"},
                    {"max_concurrency", 6},
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -88,10 +88,11 @@
 
   // A proxy in front of the target, or the target itself.
   NetworkAddress Behind(const NetworkAddress& target);
+  void PutBehind(const fakes::KeyEndpoint& endpoint);
 
   const Links link_kind_;
-  // Where daemons reach each endpoint.
-  std::map<std::string, NetworkAddress> endpoint_addresses_;
+  // Where daemons reach endpoints that are behind proxies.
+  std::map<std::string, NetworkAddress> proxied_;
   std::string folder_;
   std::vector<Daemon> daemons_;
   int next_id_ = 1;
--- a/tests/store/store_mirror_test.cc
+++ b/tests/store/store_mirror_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
 #include <string>
 #include <utility>
 
@@ -37,6 +38,25 @@
   return {{"key", value, {revision}}, false};
 }
 
+// Text that cannot be compressed.
+std::string Noise(std::size_t size) {
+  std::mt19937 random{1};
+  std::string text(size, '\0');
+  for (char& each : text) {
+    each = static_cast<char>(random());
+  }
+  return text;
+}
+
+// News as another daemon would send them.
+StoreNews News(std::uint64_t base, std::uint64_t revision, std::vector<StoreEvent> events = {}) {
+  StoreNews news{{base}, {revision}, 0, {}};
+  for (const StoreEvent& each : events) {
+    news.events.push_back(PackEvent(each));
+  }
+  return news;
+}
+
 // A mirror that has read everything up to revision 10 and follows others.
 struct Follower {
   Follower() {
@@ -69,7 +89,7 @@
 
 TEST_CASE("whoever is told what happens asks the store nothing") {
   Follower follower;
-  follower.mirror.TakeNews({{8}, {12}, 0, {Event(10, "known"), Event(11, "a"), Event(12, "b")}},
+  follower.mirror.TakeNews(News(8, 12, {Event(10, "known"), Event(11, "a"), Event(12, "b")}),
                            g_now);
   follower.Pass(milliseconds{10000}, milliseconds{400}, 300);
   CHECK(follower.store.watches() == 0);
@@ -107,8 +127,8 @@
 
 TEST_CASE("a gap in the news is filled by one call") {
   Follower follower;
-  follower.mirror.TakeNews({{10}, {11}, 0, {Event(11, "a")}}, g_now);
-  follower.mirror.TakeNews({{14}, {15}, 0, {Event(15, "e")}}, g_now);
+  follower.mirror.TakeNews(News(10, 11, {Event(11, "a")}), g_now);
+  follower.mirror.TakeNews(News(14, 15, {Event(15, "e")}), g_now);
   CHECK(follower.observer.values == std::vector<std::string>{"a"});
   follower.Pass(milliseconds{40}, milliseconds{400});
   REQUIRE(follower.store.watching());
@@ -123,7 +143,7 @@
   Follower follower;
   follower.Pass(milliseconds{20});
   REQUIRE(follower.store.watching());
-  follower.mirror.TakeNews({{10}, {12}, 0, {Event(11, "a"), Event(12, "b")}}, g_now);
+  follower.mirror.TakeNews(News(10, 12, {Event(11, "a"), Event(12, "b")}), g_now);
   follower.store.AnswerWatch({{Event(11, "a")}, {11}});
   CHECK(follower.observer.values == std::vector<std::string>{"a", "b"});
   CHECK(follower.mirror.revision().value == 12);
@@ -153,9 +173,25 @@
   CHECK(follower.mirror.reachable());
 }
 
+TEST_CASE("a large value goes compressed, and one that cannot be read is asked for") {
+  Follower follower;
+  const std::string large(300'000, 'r');
+  StoreNews news = News(10, 11, {Event(11, large)});
+  CHECK(news.events.front().value.size() < 3000);
+  follower.mirror.TakeNews(news, g_now);
+  CHECK(follower.observer.values == std::vector<std::string>{large});
+  news = News(11, 12, {Event(12, large)});
+  news.events.front().value.resize(20);
+  follower.mirror.TakeNews(news, g_now);
+  CHECK(follower.observer.values.size() == 1);
+  CHECK(follower.mirror.revision().value == 11);
+  follower.Pass(milliseconds{40}, milliseconds{400});
+  CHECK(follower.store.watching());
+}
+
 TEST_CASE("news are cut between revisions, and what is too large leaves a gap") {
-  const std::string large(6000, 'x');
-  const std::string huge(60000, 'x');
+  const std::string large = Noise(6000);
+  const std::string huge = Noise(60000);
   struct Part {
     std::uint64_t base;
     std::uint64_t revision;
