Figures by kind of request, cause of failure, endpoint and store call, with histograms

For the on-call: requests by kind and status, failures by cause, answers by evidence, time by endpoint, calls to the store by kind and how many went unanswered; quantiles are kept, buckets are added. Whether a daemon watches the store for its domain is logged and shown. Test: the text is parsed line by line and histograms have to add up.

--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -19,6 +19,20 @@
 
 }  // namespace
 
+const char* ToString(EndpointEvidence evidence) {
+  switch (evidence) {
+    case EndpointEvidence::kServed:
+      return "served";
+    case EndpointEvidence::kDeclined:
+      return "declined";
+    case EndpointEvidence::kFailed:
+      return "failed";
+    case EndpointEvidence::kUnreachable:
+      break;
+  }
+  return "unreachable";
+}
+
 bool EndpointState::TakesOwnedKeys(Instant now) const {
   return !leaving_since || now - *leaving_since < kLeavingGrace;
 }
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -20,6 +20,9 @@
   kUnreachable,
 };
 
+// The evidence's name in figures.
+const char* ToString(EndpointEvidence evidence);
+
 // What a daemon knows of an endpoint.
 struct EndpointState {
   EndpointEntry entry;
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -17,6 +17,8 @@
 namespace accumulators = boost::accumulators;
 
 constexpr std::array<double, 3> kQuantiles{0.5, 0.9, 0.99};
+// Upper bounds of the histograms' buckets, in seconds.
+constexpr std::array<double, 10> kBuckets{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
 using Accumulator = accumulators::accumulator_set<
     double, accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
@@ -29,12 +31,27 @@
 // One series of durations, in seconds.
 struct Metrics::Series {
   Accumulator values{accumulators::tag::extended_p_square::probabilities = kQuantiles};
+  // How many values are at most as large as each bucket's bound.
+  std::array<std::uint64_t, kBuckets.size()> buckets{};
+
+  void Record(Duration duration) {
+    const double seconds = Seconds(duration);
+    values(seconds);
+    for (std::size_t i = 0; i < kBuckets.size(); ++i) {
+      buckets.at(i) += seconds <= kBuckets.at(i) ? 1 : 0;
+    }
+  }
 
   void Write(std::ostream& out, const std::string& name, const std::string& labels) const {
     for (std::ptrdiff_t i = 0; i < std::ssize(kQuantiles); ++i) {
       out << name << "{" << labels << ",quantile=\"" << kQuantiles.at(static_cast<std::size_t>(i))
           << "\"} " << accumulators::extended_p_square(values)[i] << "\n";
     }
+    for (std::size_t i = 0; i < kBuckets.size(); ++i) {
+      out << name << "_bucket{" << labels << ",le=\"" << kBuckets.at(i) << "\"} " << buckets.at(i)
+          << "\n";
+    }
+    out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << accumulators::count(values) << "\n";
     out << name << "_sum{" << labels << "} " << accumulators::sum(values) << "\n";
     out << name << "_count{" << labels << "} " << accumulators::count(values) << "\n";
     out << name << "_max{" << labels << "} " << accumulators::max(values) << "\n";
@@ -49,7 +66,7 @@
   if (!series) {
     series = std::make_unique<Series>();
   }
-  series->values(Seconds(latency));
+  series->Record(latency);
 }
 
 void Metrics::RecordQueueTime(const std::string& service, Duration wait) {
@@ -57,7 +74,15 @@
   if (!series) {
     series = std::make_unique<Series>();
   }
-  series->values(Seconds(wait));
+  series->Record(wait);
+}
+
+void Metrics::RecordEndpointTime(const std::string& endpoint, Duration time) {
+  std::unique_ptr<Series>& series = endpoint_times_[endpoint];
+  if (!series) {
+    series = std::make_unique<Series>();
+  }
+  series->Record(time);
 }
 
 void Metrics::Count(const std::string& name, double amount) { counters_[name] += amount; }
@@ -73,6 +98,9 @@
   for (const auto& [service, series] : queue_times_) {
     series->Write(out, "sycamorestall_queue_seconds", "service=\"" + service + "\"");
   }
+  for (const auto& [endpoint, series] : endpoint_times_) {
+    series->Write(out, "sycamorestall_endpoint_seconds", "endpoint=\"" + endpoint + "\"");
+  }
   for (const auto& [name, value] : counters_) {
     out << "sycamorestall_" << name << " " << value << "\n";
   }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -32,6 +32,8 @@
   void RecordLatency(const LatencyLabel& label, Duration latency);
   // Records how long a request waited for a slot.
   void RecordQueueTime(const std::string& service, Duration wait);
+  // Records how long an endpoint took to answer.
+  void RecordEndpointTime(const std::string& endpoint, Duration time);
   // Adds to a counter; the name carries its labels in the Prometheus form.
   void Count(const std::string& name, double amount = 1);
   // Sets a gauge.
@@ -45,6 +47,7 @@
 
   std::map<LatencyLabel, std::unique_ptr<Series>> latencies_;
   std::map<std::string, std::unique_ptr<Series>> queue_times_;
+  std::map<std::string, std::unique_ptr<Series>> endpoint_times_;
   std::map<std::string, double> counters_;
   std::map<std::string, double> gauges_;
 };
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -198,6 +198,8 @@
 
 void RequestRelay::EndAttempt(EndpointEvidence evidence, Instant now) {
   context_.fleet.EndRequest(endpoint_, evidence, now - sent_at_, sent_rounds_, now);
+  context_.metrics.RecordEndpointTime(endpoint_.value(), now - sent_at_);
+  context_.metrics.Count(std::string{"endpoint_answers_total{evidence=\""} + ToString(evidence) + "\"}");
   state_ = State::kNew;
 }
 
@@ -387,12 +389,24 @@
   LogOutcome(0, "caller left", BootNow());
 }
 
+void RequestRelay::CountOutcome(unsigned status, const std::string& reason) {
+  const char* kind = route_ == nullptr ? "none" : ToString(route_->kind);
+  context_.metrics.Count("requests_total{kind=\"" + std::string{kind} + "\",status=\"" +
+                         std::to_string(status) + "\"}");
+  if (status < http::kOk || status >= http::kBadRequest) {
+    // What follows the colon tells of one case only.
+    context_.metrics.Count("request_failures_total{cause=\"" + reason.substr(0, reason.find(':')) +
+                           "\"}");
+  }
+}
+
 void RequestRelay::LogOutcome(unsigned status, const std::string& reason, Instant now) {
   context_.metrics.RecordLatency({route_ == nullptr ? "none" : route_->name,
                                   status >= http::kOk && status < http::kBadRequest ? Outcome::kRun
                                   : may_have_run_ ? Outcome::kUnknown
                                                   : Outcome::kNotRun},
                                  now - arrived_at_);
+  CountOutcome(status, reason);
   if (!context_.log.Enabled(LogLevel::kInfo)) {
     return;
   }
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -75,6 +75,7 @@
   void Abandon();
   void EndAttempt(EndpointEvidence evidence, Instant now);
   void NoteInputs(const EndpointState& endpoint, double expected_s, Instant now);
+  void CountOutcome(unsigned status, const std::string& reason);
   void LogOutcome(unsigned status, const std::string& reason, Instant now);
   bool IsSafe() const { return route_->kind == RequestKind::kSafe; }
   Duration TimeLeft(Instant now) const;
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -69,6 +69,7 @@
   explicit MetricsPage(RoutingDaemon& daemon) : daemon_(daemon) {}
 
   void TakeRequest(std::shared_ptr<CallerExchange> exchange) override {
+    daemon_.FillMetrics();
     AnswerPlain(*exchange, http::kOk, daemon_.metrics_.Write());
   }
   CallerLimits Limits() const override { return {}; }
@@ -133,6 +134,20 @@
   });
 }
 
+void RoutingDaemon::FillMetrics() {
+  for (const StoreCallCount& each : store_->CallCounts()) {
+    const std::string label = "{call=\"" + each.call + "\"}";
+    metrics_.Set("store_calls_total" + label, static_cast<double>(each.made));
+    metrics_.Set("store_calls_unanswered_total" + label, static_cast<double>(each.unanswered));
+  }
+  metrics_.Set("connections_opened_total", static_cast<double>(pool_.opened()));
+  metrics_.Set("daemons_known", static_cast<double>(relay_context_.daemons));
+  metrics_.Set("endpoints_listed", static_cast<double>(fleet_.all().size()));
+  metrics_.Set("requests_open", static_cast<double>(relays_.size()));
+  metrics_.Set("watches_for_domain", watches_for_domain_ ? 1 : 0);
+  metrics_.Set("store_reachable", mirror_.reachable() ? 1 : 0);
+}
+
 void RoutingDaemon::ScheduleTick() {
   timer_.expires_after(kTick);
   timer_.async_wait([this](const boost::system::error_code& error) {
@@ -145,7 +160,10 @@
 
 void RoutingDaemon::Tick() {
   const Instant now = BootNow();
-  watches_for_domain_ = WatchesForDomain(now);
+  const bool watches = WatchesForDomain(now);
+  if (std::exchange(watches_for_domain_, watches) != watches) {
+    log_.Info(watches ? "store watched for the domain" : "store followed by news of another");
+  }
   mirror_.SetWatching(watches_for_domain_ || LeadsKeys());
   mirror_.Tick(now);
   SendNews(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -88,6 +88,8 @@
   void BeginStop(Instant now);
   void ContinueStop(Instant now);
   bool Ready() const;
+  // Sets the figures that are worked out when they are asked for.
+  void FillMetrics();
   void ScheduleTick();
   void AwaitSignal();
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -79,6 +80,15 @@
   friend bool operator==(const StoreChange&, const StoreChange&) = default;
 };
 
+// How often a kind of call was made, and how often it got no answer.
+struct StoreCallCount {
+  std::string call;
+  std::uint64_t made = 0;
+  std::uint64_t unanswered = 0;
+
+  friend bool operator==(const StoreCallCount&, const StoreCallCount&) = default;
+};
+
 // The platform's store. Callbacks come on the loop's thread, never from within
 // the call.
 class Store {
@@ -112,6 +122,9 @@
   virtual void RenewLease(LeaseId lease, LeaseCallback callback) = 0;
   // Ends a lease and with it its keys.
   virtual void EndLease(LeaseId lease) = 0;
+
+  // The calls made so far.
+  virtual std::vector<StoreCallCount> CallCounts() const = 0;
 };
 
 }  // namespace sycamorestall
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -47,6 +48,13 @@
   return pattern;
 }
 
+// The program to be run; a copy can be named, so that a long run is not disturbed by a
+// build.
+std::string Program() {
+  const char* copy = std::getenv("SYCAMORESTALL_PROGRAM");
+  return copy != nullptr ? copy : std::string{BUILD_FOLDER} + "/sycamorestall";
+}
+
 std::uint16_t FreePort() {
   asio::io_context context;
   return fakes::FreeAddress(context).port;
@@ -130,7 +138,7 @@
 
 void RouterDeployment::StartDaemon(std::size_t number) {
   Daemon& daemon = daemons_.at(number);
-  const std::string program = std::string{BUILD_FOLDER} + "/sycamorestall";
+  const std::string program = Program();
   std::vector<std::string> words{program, "route", "--config", daemon.settings};
   std::vector<char*> arguments;
   for (std::string& word : words) {
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -3,6 +3,9 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <map>
+#include <regex>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -77,6 +80,34 @@
   CHECK(deployment.Log(0).find("id=a status=200") != std::string::npos);
 }
 
+TEST_CASE("figures are shown in the Prometheus text form, with histograms that add up") {
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  for (int i = 0; i < 5; ++i) {
+    CHECK(deployment.Ask(0, {.key = 7}).status == 200);
+  }
+  CHECK(deployment.Ask(0, {.path = "/nowhere/1"}).status == 404);
+  // Each figure is a name, perhaps labels, and a number; by name and labels.
+  std::map<std::string, double> figures;
+  std::istringstream lines{deployment.Metrics(0)};
+  const std::regex form{R"re(([a-z_]+(?:\{[a-z]+="[^"]*"(?:,[a-z]+="[^"]*")*\})?) ([-+0-9.e]+))re"};
+  for (std::string line; std::getline(lines, line);) {
+    CAPTURE(line);
+    std::smatch match;
+    REQUIRE(std::regex_match(line, match, form));
+    figures[match[1]] = std::stod(match[2]);
+  }
+  const std::string name = "sycamorestall_";
+  CHECK(figures[name + R"(requests_total{kind="safe",status="200"})"] >= 5);
+  CHECK(figures[name + R"(request_failures_total{cause="no route"})"] == 1);
+  CHECK(figures[name + R"(endpoint_answers_total{evidence="served"})"] >= 5);
+  CHECK(figures[name + R"(store_calls_total{call="read"})"] >= 1);
+  CHECK(figures[name + "endpoints_listed"] == 2);
+  const std::string all = name + R"(endpoint_seconds_bucket{endpoint="soil-0",le="+Inf"})";
+  CHECK(figures[all] >= 5);
+  CHECK(figures[all] == figures[name + R"(endpoint_seconds_count{endpoint="soil-0"})"]);
+}
+
 TEST_CASE("work that is not idempotent runs at most once, and refusals are true") {
   struct Row {
     std::string name;
--- a/tests/store/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -23,6 +23,7 @@
   void OpenLease(std::chrono::milliseconds /*time_to_live*/, LeaseCallback /*callback*/) override {}
   void RenewLease(LeaseId /*lease*/, LeaseCallback /*callback*/) override {}
   void EndLease(LeaseId /*lease*/) override {}
+  std::vector<StoreCallCount> CallCounts() const override { return {}; }
 
   void AnswerRead(Contents contents, std::error_code error = {}) {
     std::exchange(read_, nullptr)(error, std::move(contents));
