--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -18,6 +18,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -55,9 +56,23 @@
   return copy != nullptr ? copy : std::string{BUILD_FOLDER} + "/sycamorestall";
 }
 
+// A port that nobody listens on, and that no outgoing connection is given either while
+// a daemon is down.
 std::uint16_t FreePort() {
-  asio::io_context context;
-  return fakes::FreeAddress(context).port;
+  constexpr int kFirst = 10'240;
+  constexpr int kLast = 32'000;
+  std::random_device device;
+  std::uniform_int_distribution<int> draw{kFirst, kLast};
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(draw(device));
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context, asio::ip::tcp::v4()};
+    boost::system::error_code error;
+    socket.bind({asio::ip::address_v4::loopback(), port}, error);
+    if (!error) {
+      return port;
+    }
+  }
 }
 
 using Response = beast_http::response<beast_http::string_body>;
