--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -199,7 +199,8 @@
 void RequestRelay::EndAttempt(EndpointEvidence evidence, Instant now) {
   context_.fleet.EndRequest(endpoint_, evidence, now - sent_at_, sent_rounds_, now);
   context_.metrics.RecordEndpointTime(endpoint_.value(), now - sent_at_);
-  context_.metrics.Count(std::string{"endpoint_answers_total{evidence=\""} + ToString(evidence) + "\"}");
+  context_.metrics.Count(std::string{"endpoint_answers_total{evidence=\""} + ToString(evidence) +
+                         "\"}");
   state_ = State::kNew;
 }
 
--- a/tests/store/store_mirror_test.cc
+++ b/tests/store/store_mirror_test.cc
@@ -49,7 +49,7 @@
 }
 
 // News as another daemon would send them.
-StoreNews News(std::uint64_t base, std::uint64_t revision, std::vector<StoreEvent> events = {}) {
+StoreNews News(std::uint64_t base, std::uint64_t revision, const std::vector<StoreEvent>& events) {
   StoreNews news{{base}, {revision}, 0, {}};
   for (const StoreEvent& each : events) {
     news.events.push_back(PackEvent(each));
