Never take what was handed over for what the store holds

Since ranges in a write without an answer are left out of it, a claim from it wrote a record without those ranges, and nobody granted their keys any more. The handed-over record is a thing of its own now.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -228,7 +228,7 @@
   Explain("stand in term=" + std::to_string(record.term.value) +
           " leader=" + record.leader.value());
   phase_ = Phase::kStandingIn;
-  record_ = record;
+  handed_over_ = record;
   stand_in_confirmed_at_ = confirmed_at;
   standing_in_since_ = now;
   TakeRows(record, Duration{}, now);
@@ -238,11 +238,9 @@
   const bool store_is_back = store.confirmed_at > standing_in_since_;
   if (store_is_back || stepping_down_ || now - stand_in_confirmed_at_ >= settings_.authority) {
     Explain("stand in no longer");
-    OwnershipRecord record = record_;
+    OwnershipRecord record = std::exchange(handed_over_, {});
     const bool hand_on = stepping_down_ && !store_is_back;
     Follow();
-    // What the store holds is read anew.
-    record_known_ = false;
     if (hand_on) {
       actions_.emplace_back(HandOver{std::move(record), stand_in_confirmed_at_});
     }
@@ -347,7 +345,7 @@
 }
 
 void KeyLeader::HearTerm(Term term) {
-  if (leading() && term > record_.term) {
+  if (leading() && term > this->term()) {
     Explain("follow: a later leader is heard term=" + std::to_string(term.value));
     Follow();
   }
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -48,7 +48,9 @@
 
   // Whether this daemon grants keys, as leader or in its place.
   bool leading() const { return phase_ == Phase::kLeading || phase_ == Phase::kStandingIn; }
-  Term term() const { return record_.term; }
+  Term term() const {
+    return phase_ == Phase::kStandingIn ? handed_over_.term : record_.term;
+  }
   // The keys that are served, with their owners. Others wait for one.
   std::vector<ServedRange> ServedRanges() const;
 
@@ -167,7 +169,10 @@
   std::map<InstanceId, NetworkAddress> addresses_;
   KeyDemand demand_;
   Instant next_placement_;
-  // When the store was last heard by the leader that this daemon stands in for.
+  // What the leader handed over that this daemon stands in for. It may lack ranges, so
+  // it is never taken for what the store holds.
+  OwnershipRecord handed_over_;
+  // When the store was last heard by that leader.
   Instant stand_in_confirmed_at_;
   Instant standing_in_since_;
   std::uint32_t write_failures_ = 0;
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -147,6 +147,7 @@
       {127, "the same"},
       {123, "no endpoint got keys once each had left an order unanswered"},
       {136, "the same"},
+      {350, "a stand-in claimed with what was handed over, which lacked keys on their way"},
   };
   constexpr int kSeconds = 40;
   constexpr int kLongestMoveMs = 1000;
