--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -48,9 +48,7 @@
 
   // Whether this daemon grants keys, as leader or in its place.
   bool leading() const { return phase_ == Phase::kLeading || phase_ == Phase::kStandingIn; }
-  Term term() const {
-    return phase_ == Phase::kStandingIn ? handed_over_.term : record_.term;
-  }
+  Term term() const { return phase_ == Phase::kStandingIn ? handed_over_.term : record_.term; }
   // The keys that are served, with their owners. Others wait for one.
   std::vector<ServedRange> ServedRanges() const;
 
