--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -21,8 +22,10 @@
 
 namespace {
 
-// Timeouts are kept this exactly.
+// Connections are looked at this often, and besides whenever a call's time is up.
 constexpr std::chrono::milliseconds kTimeoutCheck{10};
+// A call is late only after its time.
+constexpr std::chrono::microseconds kJustAfter{50};
 
 // A call that has not ended.
 struct Running {
@@ -97,7 +100,7 @@
  public:
   explicit Implementation(ClientSettings settings)
       : settings_(settings), work_(context_.get_executor()), pool_(context_), timer_(context_) {
-    CheckTimeouts();
+    CheckAt(BootNow() + kTimeoutCheck);
     thread_ = std::thread([this] { context_.run(); });
   }
 
@@ -145,7 +148,11 @@
     running.call = std::move(call);
     running.callback = std::move(callback);
     running.url = *url;
+    const Instant give_up_at = running.give_up_at;
     running_.emplace(number, std::move(running));
+    if (give_up_at + kJustAfter < check_at_) {
+      CheckAt(give_up_at + kJustAfter);
+    }
     hosts_[url->authority].waiting.push_back(number);
     SendWaiting(url->authority);
   }
@@ -215,19 +222,27 @@
     }
   }
 
-  void CheckTimeouts() {
-    timer_.expires_after(kTimeoutCheck);
+  // Looks at all timeouts at a moment, and not at the one that was set before.
+  void CheckAt(Instant at) {
+    check_at_ = at;
+    timer_.expires_after(at - BootNow());
     timer_.async_wait([this](const boost::system::error_code& error) {
-      if (error) {
-        return;
+      if (!error) {
+        CheckTimeouts(BootNow());
       }
-      const Instant now = BootNow();
-      pool_.CheckTimeouts(now);
-      EndWaiting(now);
-      CheckTimeouts();
     });
   }
 
+  void CheckTimeouts(Instant now) {
+    pool_.CheckTimeouts(now);
+    EndWaiting(now);
+    Instant next = now + kTimeoutCheck;
+    for (const auto& [number, running] : running_) {
+      next = std::min(next, std::max(running.give_up_at, now) + kJustAfter);
+    }
+    CheckAt(next);
+  }
+
   // Ends calls whose time is up before a connection was free for them.
   void EndWaiting(Instant now) {
     std::vector<std::uint64_t> late;
@@ -255,6 +270,7 @@
   std::unordered_map<std::uint64_t, Running> running_;
   std::map<std::string, Host> hosts_;
   bool stopping_ = false;
+  Instant check_at_;
   std::atomic<std::uint64_t> next_number_{1};
   std::thread thread_;
 };
