Do not ask an endpoint again that says it is not the owner

Only a refusal for want of room is asked again now. Test: row 'another-one' of the router test, which looks at the arrivals logged.

--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -276,12 +276,11 @@
       if (keyed_) {
         context_.keys.ReportDenial(service_, *facts_.key, endpoint_);
       }
-      [[fallthrough]];
+      // To ask it again would only be another arrival, perhaps at another service.
+      TakeRefusal(false, now);
+      return;
     case AnswerMeaning::kNotRun:
-      EndAttempt(EndpointEvidence::kDeclined, now);
-      if (!(OwnerHasRoom() && RetryOwner(true, now)) && !RetryElsewhere(true, now)) {
-        Refuse("endpoint declined", kRetryAfterDeclined, now);
-      }
+      TakeRefusal(true, now);
       return;
     case AnswerMeaning::kInvalid:
       break;
@@ -289,6 +288,14 @@
   TakeBreak("answer not valid", false, now);
 }
 
+void RequestRelay::TakeRefusal(bool by_owner, Instant now) {
+  EndAttempt(EndpointEvidence::kDeclined, now);
+  const bool again = by_owner && OwnerHasRoom() && RetryOwner(true, now);
+  if (!again && !RetryElsewhere(true, now)) {
+    Refuse("endpoint declined", kRetryAfterDeclined, now);
+  }
+}
+
 bool RequestRelay::RetryOwner(bool arrived, Instant now) {
   const bool allowed =
       keyed_ && sendings_ < kMaxSendingsToOwner && TimeLeft(now) > kOwnerPause + kWayBack;
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -55,6 +55,8 @@
   void TakeResult(CallResult result, Instant now);
   void TakeAnswer(HttpAnswer answer, Instant now);
   void HearDomain(Instant now);
+  // The endpoint says that it has not run the request.
+  void TakeRefusal(bool by_owner, Instant now);
   void TakeNoConnection(const CallResult& result, Instant now);
   void TakeBreak(const std::string& reason, bool stale, Instant now);
   // Sends the request again, if that is allowed, to an endpoint that was not
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -182,7 +182,7 @@
   const bool is_full = trouble == EndpointTrouble::kFull;
   const auto key = static_cast<KeyNumber>(std::stoul("0" + Value(*exchange, "X-Shard-Key")));
   const bool is_not_held = owns_keys_ && !is_order && !is_full && !HoldsNow(key);
-  if (is_foreign || is_not_held) {
+  if (is_foreign || is_not_held || trouble == EndpointTrouble::kMisdirected) {
     Refuse(*exchange, 421);
   } else if (is_full) {
     Refuse(*exchange, 503);
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -19,6 +19,8 @@
   kNone,
   // Refuses every request without running it.
   kFull,
+  // Says that it is not the one that is meant.
+  kMisdirected,
   // Runs the request and answers with another request's id.
   kForeignId,
   // Runs the request and fails it.
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -143,7 +143,8 @@
   };
   const Row rows[] = {{"full-at-first", EndpointTrouble::kFullAtFirst, 200, 1},
                       {"broken-at-first", EndpointTrouble::kForeignIdAtFirst, 200, 2},
-                      {"full-each-time", EndpointTrouble::kFull, 503, 0}};
+                      {"full-each-time", EndpointTrouble::kFull, 503, 0},
+                      {"another-one", EndpointTrouble::kMisdirected, 503, 0}};
   RouterDeployment deployment{1, 2, 1};
   REQUIRE(deployment.WaitUntilServed());
   for (const Row& row : rows) {
@@ -156,6 +157,12 @@
     CHECK(answer.status == row.status);
     CHECK(CountRuns(deployment, row.name) == row.runs);
   }
+  // Who is not the owner is not asked again.
+  std::this_thread::sleep_for(std::chrono::milliseconds{500});
+  const std::string log = deployment.Log(0);
+  const std::size_t line = log.find("id=another-one ");
+  REQUIRE(line != std::string::npos);
+  CHECK(log.substr(line, log.find('\n', line) - line).find(" arrivals=1 ") != std::string::npos);
 }
 
 TEST_CASE("a route's timeout and the caller's patience both end a request") {
