Log how store state arrives: by which way, how large, how long it took

The logs could not tell whether a late configuration came by an own watch, an own read or a relayed update.

--- a/src/log/log.cc
+++ b/src/log/log.cc
@@ -50,6 +50,10 @@
 
 void SetLogLevel(LogLevel level) { RootLogger()->setLevel(ToLog4cxxLevel(level)); }
 
+std::string FormatMilliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 bool ParseLogLevel(std::string_view text, LogLevel& level) {
   struct Entry {
     std::string_view name;
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -3,6 +3,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/boot_clock.h"
+
 namespace sycamorestall {
 
 // Severity of a log line, and the minimum severity that is logged.
@@ -19,6 +21,9 @@
 // Writes all queued lines and stops logging.
 void StopLog();
 
+// Formats a duration in whole milliseconds.
+std::string FormatMilliseconds(Duration duration);
+
 // Logger of one component; its prefix starts every line.
 class ComponentLog {
  public:
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -48,7 +48,7 @@
 void HttpConnection::Call(OutgoingCall call, Instant now, Callback callback) {
   call_ = std::move(call);
   callback_ = std::move(callback);
-  answer_started_ = false;
+  answer_began_at_.reset();
   ResetParser();
   if (phase_ == Phase::kNew) {
     connect_deadline_ = now + call_.connect_timeout;
@@ -148,12 +148,14 @@
     return;
   }
   if (error && error != asio::error::eof) {
-    const bool is_stale = !answer_started_ && reused();
+    const bool is_stale = !answer_began_at_ && reused();
     FailCall(is_stale ? CallOutcome::kStaleConnection : CallOutcome::kBroken, error.message());
     return;
   }
   buffer_.commit(size);
-  answer_started_ = answer_started_ || size > 0;
+  if (size > 0 && !answer_began_at_) {
+    answer_began_at_ = BootNow();
+  }
   if (call_.extension_on_data && call_.deadline) {
     call_.deadline = std::max(*call_.deadline, BootNow() + *call_.extension_on_data);
   }
@@ -174,7 +176,7 @@
     }
   }
   if (end_of_stream && !parser_->is_done()) {
-    if (!answer_started_) {
+    if (!answer_began_at_) {
       FailCall(reused() ? CallOutcome::kStaleConnection : CallOutcome::kBroken,
                "closed unanswered");
       return;
@@ -198,6 +200,7 @@
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
   result.answer = parser_->release();
+  result.answer_began_at = *answer_began_at_;
   if (const auto timeout = ParseIdleTimeout(result.answer)) {
     peer_idle_timeout_ = timeout;
   }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -39,6 +39,8 @@
 struct CallResult {
   CallOutcome outcome = CallOutcome::kBroken;
   HttpAnswer answer;
+  // When the first byte of the answer arrived.
+  Instant answer_began_at;
   // Why there is no answer, for the log.
   std::string reason;
 };
@@ -109,7 +111,8 @@
   Phase phase_ = Phase::kNew;
   bool reading_ = false;
   bool writing_ = false;
-  bool answer_started_ = false;
+  // When the first byte of the running call's answer arrived.
+  std::optional<Instant> answer_began_at_;
   std::uint64_t answered_calls_ = 0;
   Instant idle_since_;
   Instant connect_deadline_;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -6,6 +6,7 @@
 
 #include "clock/system_clock.h"
 #include "http/status.h"
+#include "log/log.h"
 
 namespace sycamorestall {
 
@@ -44,10 +45,6 @@
   return std::clamp<Duration>(share, kMinConnectTimeout, kMaxConnectTimeout);
 }
 
-std::string FormatMilliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 RequestRelay::RequestRelay(RelayContext& context, std::shared_ptr<CallerExchange> exchange,
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -47,8 +47,9 @@
   class ReadinessHandler;
   class MetricsHandler;
 
-  void ApplyContents(const Store::Contents& contents) override;
-  void ApplyChanges(const Store::Changes& changes) override;
+  void ApplyContents(const Store::Contents& contents, const StoreStateOrigin& origin) override;
+  void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) override;
+  void HandleStoreCall(const StoreCallRecord& call) override;
   void HandleReachability(bool reachable, const std::string& reason) override;
   std::optional<InstanceId> OwnerOf(const ServiceName& service, KeyNumber key,
                                     Instant now) const override;
@@ -60,9 +61,9 @@
 
   // Apply store items; return whether the item has to be relayed to the other daemons of the
   // domain.
-  bool ApplyItem(const StoreItem& item, Instant now);
+  bool ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   bool ApplyEndpoint(const StoreItem& item, Instant now);
-  bool ApplyConfig(const std::string& text);
+  bool ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin);
   bool RemoveItem(const std::string& key);
   void ApplyRecordItem(const StoreItem& item);
   void ApplyRecords(Instant now);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -8,17 +8,46 @@
 
 namespace sycamorestall {
 
+namespace {
+
+// Calls of a daemon that watches the store are logged if they take longer than this.
+constexpr std::chrono::milliseconds kSlowStoreCall{1500};
+
+std::string FormatTransfer(const StoreTransfer& transfer) {
+  return " bytes=" + std::to_string(transfer.bytes) +
+         " transfer_ms=" + FormatMilliseconds(transfer.time);
+}
+
+}  // namespace
+
+void RoutingDaemon::HandleStoreCall(const StoreCallRecord& call) {
+  const std::string labels = "{call=\"" + std::string{ToString(call.call)} + "\"}";
+  metrics_.IncrementCounter("store_answer_bytes_total" + labels,
+                            static_cast<double>(call.transfer.bytes));
+  metrics_.IncrementCounter("store_call_seconds_total" + labels,
+                            std::chrono::duration<double>(call.time).count());
+  const bool routine = call.call == StoreStateSource::kWatch && store_watcher_.watching() &&
+                       !call.error && call.time < kSlowStoreCall;
+  if (routine) {
+    return;
+  }
+  log_.Info("store call finished call=" + std::string{ToString(call.call)} + " reason=\"" +
+            call.reason + "\" ms=" + FormatMilliseconds(call.time) + FormatTransfer(call.transfer) +
+            " from=" + std::to_string(call.from.value) + " to=" + std::to_string(call.to.value) +
+            (call.error ? " error=\"" + call.error.message() + "\"" : ""));
+}
+
 void RoutingDaemon::HandleReachability(bool reachable, const std::string& reason) {
   log_.Info(reachable ? "store reachable" : "store unreachable reason=" + reason);
 }
 
-void RoutingDaemon::ApplyContents(const Store::Contents& contents) {
+void RoutingDaemon::ApplyContents(const Store::Contents& contents, const StoreStateOrigin& origin) {
   const Instant now = BootNow();
   std::set<InstanceId> listed;
   registry_.ClearEntries();
   record_items_.clear();
   for (const StoreItem& item : contents.items) {
-    ApplyItem(item, now);
+    ApplyItem(item, origin, now);
     if (formats_.directory.IsEndpointKey(item.key)) {
       listed.insert(formats_.directory.EndpointIdFromKey(item.key));
     }
@@ -39,10 +68,11 @@
   update_batcher_.Reset(contents.revision);
 }
 
-void RoutingDaemon::ApplyChanges(const Store::Changes& changes) {
+void RoutingDaemon::ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) {
   const Instant now = BootNow();
   for (const StoreEvent& event : changes.events) {
-    const bool changed = event.removed ? RemoveItem(event.item.key) : ApplyItem(event.item, now);
+    const bool changed =
+        event.removed ? RemoveItem(event.item.key) : ApplyItem(event.item, origin, now);
     if (changed) {
       update_batcher_.Add(event);
     }
@@ -51,9 +81,9 @@
   next_store_update_at_ = now;
 }
 
-bool RoutingDaemon::ApplyItem(const StoreItem& item, Instant now) {
+bool RoutingDaemon::ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now) {
   if (formats_.directory.IsConfigKey(item.key)) {
-    return ApplyConfig(item.value);
+    return ApplyConfig(item, origin);
   }
   if (formats_.directory.IsEndpointKey(item.key)) {
     return ApplyEndpoint(item, now);
@@ -120,9 +150,9 @@
   return false;
 }
 
-bool RoutingDaemon::ApplyConfig(const std::string& text) {
+bool RoutingDaemon::ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin) {
   std::string reason;
-  auto config = formats_.directory.ParseConfig(text, reason);
+  auto config = formats_.directory.ParseConfig(item.value, reason);
   if (!config) {
     log_.Error("invalid configuration reason=" + reason);
     return false;
@@ -131,7 +161,10 @@
     return false;
   }
   log_.Info("configuration applied version=" + std::to_string(config->version) +
-            " routes=" + std::to_string(config->routes.size()));
+            " routes=" + std::to_string(config->routes.size()) +
+            " revision=" + std::to_string(item.revision.value) +
+            " source=" + ToString(origin.source) + " age_ms=" + FormatMilliseconds(origin.age) +
+            " value_bytes=" + std::to_string(item.value.size()) + FormatTransfer(origin.transfer));
   routes_ = std::make_shared<RouteTable>(std::move(*config));
   AddKeyServices();
   return true;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -80,6 +80,15 @@
   friend bool operator==(const StoreTransaction&, const StoreTransaction&) = default;
 };
 
+// Size of an answer of the store, and how long its bytes took to arrive.
+struct StoreTransfer {
+  std::size_t bytes = 0;
+  // Time from the first to the last byte.
+  Duration time{};
+
+  friend bool operator==(const StoreTransfer&, const StoreTransfer&) = default;
+};
+
 // Number of calls of one kind, and of those that got no answer.
 struct StoreCallCount {
   std::string call;
@@ -99,11 +108,13 @@
   struct Contents {
     std::vector<StoreItem> items;
     Revision revision;
+    StoreTransfer transfer = {};
   };
   // Events up to and including the revision.
   struct Changes {
     std::vector<StoreEvent> events;
     Revision revision;
+    StoreTransfer transfer = {};
   };
   using ContentsCallback = std::function<void(std::error_code, Contents)>;
   using ChangesCallback = std::function<void(std::error_code, Changes)>;
--- a/src/store/store_update.cc
+++ b/src/store/store_update.cc
@@ -102,6 +102,7 @@
     }
     if (too_large) {
       current.base = event_revision;
+      ++left_out_revisions_;
     } else {
       current.events.insert(current.events.end(), revision_begin, revision_end);
       size += revision_size;
--- a/src/store/store_update.h
+++ b/src/store/store_update.h
@@ -51,10 +51,13 @@
   // least one. Revisions too large for a datagram are left out, which leaves a gap that
   // receivers detect.
   std::vector<StoreUpdate> DrainUpdates(Revision revision, std::uint32_t answered_ms_ago);
+  // Number of revisions left out so far because they were too large.
+  std::uint64_t left_out_revisions() const { return left_out_revisions_; }
 
  private:
   Revision drained_until_;
   std::vector<StoreEvent> events_;
+  std::uint64_t left_out_revisions_ = 0;
 };
 
 }  // namespace sycamorestall
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -25,17 +25,50 @@
 
 }  // namespace
 
+const char* ToString(StoreStateSource source) {
+  switch (source) {
+    case StoreStateSource::kRead:
+      return "read";
+    case StoreStateSource::kWatch:
+      return "watch";
+    case StoreStateSource::kRelay:
+      return "relay";
+  }
+  return "unknown";
+}
+
 bool StoreWatcher::HasFreshUpdates(Instant now) const {
   return !watching_ && now - last_update_at_ < kMaxUpdateSilence &&
          now - last_answer_at_ < kMaxAnswerAge && missing_until_ <= revision_;
 }
 
+const char* StoreWatcher::CallReason(Instant now) const {
+  if (reload_needed_) {
+    return "reload";
+  }
+  if (watching_) {
+    return "watching";
+  }
+  if (missing_until_ > revision_) {
+    return "updates missing";
+  }
+  return now - last_update_at_ < kMaxUpdateSilence ? "updates outdated" : "no updates";
+}
+
+void StoreWatcher::ReportCall(StoreStateSource call, std::error_code error, Revision to,
+                              const StoreTransfer& transfer) {
+  observer_.HandleStoreCall(
+      {call, call_reason_, clock_() - call_sent_at_, transfer, call_sent_revision_, to, error});
+}
+
 void StoreWatcher::Tick(Instant now) {
   if (call_pending_ || now < next_call_at_ || (!reload_needed_ && HasFreshUpdates(now))) {
     return;
   }
   call_pending_ = true;
   call_sent_at_ = now;
+  call_sent_revision_ = revision_;
+  call_reason_ = CallReason(now);
   if (reload_needed_ || now - last_answer_at_ > kMaxWatchGap) {
     reload_needed_ = true;
     store_.ReadAll([this](std::error_code error, const Store::Contents& contents) {
@@ -50,6 +83,7 @@
 
 void StoreWatcher::HandleReadResult(std::error_code error, const Store::Contents& contents) {
   call_pending_ = false;
+  ReportCall(StoreStateSource::kRead, error, contents.revision, contents.transfer);
   if (error) {
     RecordFailure(error);
     return;
@@ -57,11 +91,13 @@
   reload_needed_ = false;
   revision_ = contents.revision;
   RecordSuccess(clock_(), std::chrono::milliseconds{0});
-  observer_.ApplyContents(contents);
+  observer_.ApplyContents(contents,
+                          {StoreStateSource::kRead, clock_() - call_sent_at_, contents.transfer});
 }
 
 void StoreWatcher::HandleWatchResult(std::error_code error, const Store::Changes& changes) {
   call_pending_ = false;
+  ReportCall(StoreStateSource::kWatch, error, changes.revision, changes.transfer);
   if (error == StoreError::kHistoryGone) {
     reload_needed_ = true;
     next_call_at_ = clock_();
@@ -72,17 +108,19 @@
     return;
   }
   RecordSuccess(clock_(), changes.events.empty() ? std::chrono::milliseconds{0} : kBatchDelay);
-  ApplyEvents(changes.events, changes.revision);
+  ApplyEvents(changes.events, changes.revision,
+              {StoreStateSource::kWatch, clock_() - call_sent_at_, changes.transfer});
 }
 
-void StoreWatcher::ApplyEvents(const std::vector<StoreEvent>& events, Revision revision) {
+void StoreWatcher::ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
+                               const StoreStateOrigin& origin) {
   // Events may arrive late or twice, from the store and from another daemon.
   Store::Changes changes;
   std::copy_if(events.begin(), events.end(), std::back_inserter(changes.events),
                [this](const StoreEvent& each) { return each.item.revision > revision_; });
   revision_ = std::max(revision_, revision);
   changes.revision = revision_;
-  observer_.ApplyChanges(changes);
+  observer_.ApplyChanges(changes, origin);
 }
 
 void StoreWatcher::ApplyUpdate(const StoreUpdate& update, Instant now) {
@@ -109,7 +147,8 @@
     }
     events.push_back(std::move(*event));
   }
-  ApplyEvents(events, update.revision);
+  ApplyEvents(events, update.revision,
+              {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}});
 }
 
 void StoreWatcher::RecordCallResult(std::error_code error) {
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -5,15 +5,46 @@
 
 namespace sycamorestall {
 
+// How a part of the store's state reached this daemon.
+enum class StoreStateSource { kRead, kWatch, kRelay };
+// Returns the source's name in log lines.
+const char* ToString(StoreStateSource source);
+
+// Where a part of the store's state came from.
+struct StoreStateOrigin {
+  StoreStateSource source = StoreStateSource::kRead;
+  // Time since this daemon asked the store for it or, if it was relayed, since the store last
+  // answered the sender by the sender's account.
+  Duration age{};
+  StoreTransfer transfer;
+
+  friend bool operator==(const StoreStateOrigin&, const StoreStateOrigin&) = default;
+};
+
+// A finished read or watch, for the log.
+struct StoreCallRecord {
+  StoreStateSource call = StoreStateSource::kRead;
+  // Why the call was made: the daemon watches the store, or what its updates lacked.
+  const char* reason = "";
+  Duration time{};
+  StoreTransfer transfer;
+  // The revision known when the call was sent, and that of the answer.
+  Revision from;
+  Revision to;
+  std::error_code error;
+};
+
 // Receives the store's contents and changes.
 class StoreObserver {
  public:
   virtual ~StoreObserver() = default;
 
   // Replaces all earlier contents: a key that is not listed does not exist.
-  virtual void ApplyContents(const Store::Contents& contents) = 0;
+  virtual void ApplyContents(const Store::Contents& contents, const StoreStateOrigin& origin) = 0;
   // Applies events, oldest first.
-  virtual void ApplyChanges(const Store::Changes& changes) = 0;
+  virtual void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) = 0;
+  // A read or watch has finished.
+  virtual void HandleStoreCall(const StoreCallRecord& call) = 0;
   // The store became reachable, or unreachable for the given reason.
   virtual void HandleReachability(bool reachable, const std::string& reason) = 0;
 };
@@ -65,7 +96,12 @@
   void HandleReadResult(std::error_code error, const Store::Contents& contents);
   void HandleWatchResult(std::error_code error, const Store::Changes& changes);
   // Passes the events that are newer than the known revision to the observer.
-  void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision);
+  void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
+                   const StoreStateOrigin& origin);
+  // Why the store is called, for the log.
+  const char* CallReason(Instant now) const;
+  void ReportCall(StoreStateSource call, std::error_code error, Revision to,
+                  const StoreTransfer& transfer);
   void RecordSuccess(Instant now, std::chrono::milliseconds delay);
   void RecordFailure(std::error_code error);
   void SetReachable(Instant now);
@@ -80,6 +116,8 @@
   bool reachable_ = false;
   Revision revision_;
   Instant call_sent_at_;
+  const char* call_reason_ = "";
+  Revision call_sent_revision_;
   Instant next_call_at_;
   Instant confirmed_at_;
   Instant last_answer_at_;
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -19,12 +19,17 @@
 // Records what the watcher reports.
 class RecordingObserver : public StoreObserver {
  public:
-  void ApplyContents(const Store::Contents& /*contents*/) override { ++reload_count; }
-  void ApplyChanges(const Store::Changes& changes) override {
+  void ApplyContents(const Store::Contents& /*contents*/,
+                     const StoreStateOrigin& /*origin*/) override {
+    ++reload_count;
+  }
+  void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) override {
+    last_origin = origin;
     for (const StoreEvent& each : changes.events) {
       values.push_back(each.item.value);
     }
   }
+  void HandleStoreCall(const StoreCallRecord& call) override { calls.push_back(call); }
   void HandleReachability(bool is_reachable, const std::string& /*reason*/) override {
     reachable = is_reachable;
   }
@@ -32,6 +37,8 @@
   int reload_count = 0;
   std::vector<std::string> values;
   bool reachable = false;
+  StoreStateOrigin last_origin;
+  std::vector<StoreCallRecord> calls;
 };
 
 StoreEvent MakeEvent(std::uint64_t revision, const std::string& value) {
