Reproduce: a slow link to the store delays the latest configuration

Five versions of a long configuration within 1.5 s, with a slow link between one daemon and the store: neither a daemon that relies on updates nor one that watches serves the last version within 2.5 s.

--- a/tests/fakes/fault_proxy.cc
+++ b/tests/fakes/fault_proxy.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,8 @@
 // How often a blocked direction checks whether it may pass its bytes.
 constexpr std::chrono::milliseconds kBlockedRecheckInterval{10};
 constexpr std::size_t kBufferBytes = std::size_t{64} * 1024;
+// Bytes that pass at once while the rate is limited.
+constexpr std::size_t kLimitedReadBytes = std::size_t{8} * 1024;
 
 // Whether the peer has closed or reset the connection.
 bool IsClosedByPeer(tcp::socket& socket) {
@@ -73,15 +76,21 @@
           timer(connection.proxy_.context_) {}
 
     void Read(const std::shared_ptr<Connection>& owner) {
-      from.async_read_some(asio::buffer(buffer),
+      const bool limited = carries_answers && owner->proxy_.answer_rate_ > 0;
+      from.async_read_some(asio::buffer(buffer, limited ? kLimitedReadBytes : kBufferBytes),
                            [this, owner](const boost::system::error_code& error, std::size_t size) {
                              if (error) {
                                HandleReadError(owner, error);
                                return;
                              }
-                             const bool delayed = owner->proxy_.fault_ == ProxyFault::kDelayed;
-                             WriteWhenUnblocked(owner, size,
-                                                delayed ? kDelay : std::chrono::milliseconds{0});
+                             std::chrono::nanoseconds delay{0};
+                             if (carries_answers) {
+                               delay = owner->proxy_.ReserveLink(size);
+                             }
+                             if (owner->proxy_.fault_ == ProxyFault::kDelayed) {
+                               delay += kDelay;
+                             }
+                             WriteWhenUnblocked(owner, size, delay);
                            });
     }
 
@@ -97,18 +106,19 @@
 
     // Writes the bytes after the delay, and only once no fault blocks this direction.
     void WriteWhenUnblocked(const std::shared_ptr<Connection>& owner, std::size_t size,
-                            std::chrono::milliseconds delay) {
+                            std::chrono::nanoseconds delay) {
       if (delay.count() == 0 && !IsBlocked(owner->proxy_.fault_)) {
         Write(owner, size);
         return;
       }
-      timer.expires_after(delay.count() > 0 ? delay : kBlockedRecheckInterval);
+      timer.expires_after(delay.count() > 0 ? delay
+                                            : std::chrono::nanoseconds{kBlockedRecheckInterval});
       timer.async_wait([this, owner, size](const boost::system::error_code& error) {
         if (error || !from.is_open() || IsClosedByPeer(from)) {
           owner->Reset();
           return;
         }
-        WriteWhenUnblocked(owner, size, std::chrono::milliseconds{0});
+        WriteWhenUnblocked(owner, size, std::chrono::nanoseconds{0});
       });
     }
 
@@ -171,6 +181,19 @@
   });
 }
 
+std::chrono::nanoseconds FaultProxy::ReserveLink(std::size_t size) {
+  const std::size_t rate = answer_rate_;
+  if (rate == 0) {
+    return std::chrono::nanoseconds{0};
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> transmission{static_cast<double>(size) /
+                                                   static_cast<double>(rate)};
+  link_free_at_ = std::max(link_free_at_, now) +
+                  std::chrono::duration_cast<std::chrono::nanoseconds>(transmission);
+  return link_free_at_ - now;
+}
+
 void FaultProxy::SetFault(ProxyFault fault) {
   fault_ = fault;
   if (fault != ProxyFault::kReset) {
--- a/tests/fakes/fault_proxy.h
+++ b/tests/fakes/fault_proxy.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -36,17 +37,24 @@
   NetworkAddress address() const { return address_; }
   // Sets the current fault; may be called from any thread.
   void SetFault(ProxyFault fault);
+  // Limits the rate of all answers together, in bytes a second; 0 means no limit. May be called
+  // from any thread.
+  void SetAnswerRate(std::size_t bytes_per_second) { answer_rate_ = bytes_per_second; }
 
  private:
   class Connection;
 
   void Accept();
+  // Reserves the link for an answer's next bytes and returns how long they take to pass.
+  std::chrono::nanoseconds ReserveLink(std::size_t size);
 
   const NetworkAddress target_;
   boost::asio::io_context context_{1};
   boost::asio::ip::tcp::acceptor acceptor_;
   const NetworkAddress address_;
   std::atomic<ProxyFault> fault_{ProxyFault::kNone};
+  std::atomic<std::size_t> answer_rate_{0};
+  std::chrono::steady_clock::time_point link_free_at_;
   std::vector<std::weak_ptr<Connection>> connections_;
   std::thread thread_;
 };
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -227,12 +227,21 @@
   return text.str();
 }
 
-void RouterDeployment::WriteConfig(int version, const std::string& pump_prefix) {
+void RouterDeployment::WriteConfig(int version, const std::string& pump_prefix, int unused_routes) {
   const auto route = [](const std::string& prefix, const std::string& kind,
                         const std::string& service) {
     return json{{"name", service}, {"prefix", prefix}, {"kind", kind},       {"timeout_s", 1},
                 {"aim_s", 0.4},    {"priority", 1},    {"service", service}, {"max_attempts", 2}};
   };
+  json routes{route("/soil/", "safe", "soil"), route(pump_prefix, "unsafe", "pumps")};
+  std::mt19937_64 random{1};
+  for (int i = 0; i < unused_routes; ++i) {
+    std::string prefix = "/";
+    for (int word = 0; word < 2; ++word) {
+      prefix += std::to_string(random());
+    }
+    routes.push_back(route(prefix + "/", "safe", "soil"));
+  }
   const json body{
       {"version", version},
       {"services", {{{"name", "soil"}, {"sharded", true}, {"warm_s", 2.0}}, {{"name", "pumps"}}}},
@@ -241,9 +250,7 @@
         {"max_body_bytes", 1 << 20},
         {"header_timeout_s", 3},
         {"idle_timeout_s", 15}}},
-      {"hosts",
-       {{{"host", "h.example"},
-         {"paths", {route("/soil/", "safe", "soil"), route(pump_prefix, "unsafe", "pumps")}}}}}};
+      {"hosts", {{{"host", "h.example"}, {"paths", routes}}}}};
   store.Put("op/config", body.dump());
 }
 
@@ -298,6 +305,22 @@
   return response ? static_cast<int>(response->result_int()) : 0;
 }
 
+bool RouterDeployment::ServesPumpsWithin(std::size_t daemon, const std::string& pump_prefix,
+                                         std::chrono::milliseconds time) {
+  const auto end = Clock::now() + time;
+  while (Clock::now() < end) {
+    if (SendRequest(daemon, {.path = pump_prefix + "1", .method = "POST"}).status == 200) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+fakes::FaultProxy& RouterDeployment::StoreProxy(std::size_t daemon) {
+  return *proxies.at(soil.size() + pumps.size() + daemon);
+}
+
 std::string RouterDeployment::FetchMetrics(std::size_t daemon) {
   const auto response = SendOnce(daemons_.at(daemon).metrics_port,
                                  Request{beast_http::verb::get, "/metrics", 11}, 500);
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -46,8 +47,9 @@
   RouterDeployment(const RouterDeployment&) = delete;
   RouterDeployment& operator=(const RouterDeployment&) = delete;
 
-  // Writes a configuration to the store; daemons ignore versions that do not rise.
-  void WriteConfig(int version, const std::string& pump_prefix = "/pumps/");
+  // Writes a configuration to the store; daemons ignore versions that do not rise. The prefixes
+  // of the unused routes are the same in each version, and compress badly.
+  void WriteConfig(int version, const std::string& pump_prefix = "/pumps/", int unused_routes = 0);
   // Writes an endpoint's entry to the store once; it is not renewed.
   void RegisterEndpoint(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
                         std::uint64_t start = 1);
@@ -72,6 +74,11 @@
   CallerAnswer SendRequest(std::size_t daemon, CallerRequest call);
   // The status of the daemon's readiness endpoint; 0 if it does not answer.
   int ReadinessStatus(std::size_t daemon);
+  // Whether a daemon routes by the prefix of unsafe requests, within the time.
+  bool ServesPumpsWithin(std::size_t daemon, const std::string& pump_prefix,
+                         std::chrono::milliseconds time);
+  // The proxy of a daemon's connections to the store.
+  fakes::FaultProxy& StoreProxy(std::size_t daemon);
   std::string FetchMetrics(std::size_t daemon);
 
   fakes::KeyValueStore store;
