Repeat store updates until they are confirmed, and relay what reads show

Callers got 404 for new routes from daemons whose updates had gaps.

Each daemon now says in its gossip up to which revision it knows the store, and the watching daemon sends it everything after that, the latest event of each key. A read of everything is compared with the known items and applied as changes, which are relayed like others; it never replaces newer state. An update whose base is known is complete, so a daemon follows it also after a long silence, and needs no read then.

--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -51,7 +51,7 @@
   std::ostringstream out;
   {
     cereal::BinaryOutputArchive archive{out};
-    archive(message);
+    archive(message, message.store_revision);
   }
   return out.str();
 }
@@ -62,6 +62,10 @@
     cereal::BinaryInputArchive archive{in};
     DaemonMessage message;
     archive(message);
+    // Earlier versions do not send it.
+    if (in.peek() != std::istringstream::traits_type::eof()) {
+      archive(message.store_revision);
+    }
     return message;
   } catch (const std::exception&) {
     // Not a message of this version; the transport drops the datagram.
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -80,6 +80,8 @@
   std::vector<NotOwnerReport> not_owner_reports;
   std::vector<LeadershipHandOver> leadership_hand_overs;
   std::vector<StoreUpdate> store_updates;
+  // The revision up to which the sender knows the store; 0 if it does not.
+  Revision store_revision;
 };
 
 // Serializes a message.
--- a/src/router/daemon_registry.h
+++ b/src/router/daemon_registry.h
@@ -41,7 +41,6 @@
   // Apply changes of the store's daemon entries.
   void AddEntry(const StoreItem& item);
   void RemoveEntry(const std::string& key);
-  void ClearEntries() { daemons_.clear(); }
 
   // All registered daemons, this one included once it is registered.
   const std::map<InstanceId, RegisteredDaemon>& daemons() const { return daemons_; }
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -148,8 +148,6 @@
   metrics_.SetGauge("endpoints_listed", static_cast<double>(fleet_.all().size()));
   metrics_.SetGauge("requests_open", static_cast<double>(active_relays_.size()));
   metrics_.SetGauge("watches_for_domain", watches_for_domain_ ? 1 : 0);
-  metrics_.SetGauge("store_updates_left_out_total",
-                    static_cast<double>(update_batcher_.left_out_revisions()));
   metrics_.SetGauge("store_revision", static_cast<double>(store_watcher_.revision().value));
   metrics_.SetGauge(
       "store_answer_age_seconds",
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -13,7 +13,7 @@
 #include "router/daemon_transport.h"
 #include "router/key_service.h"
 #include "router/request_relay.h"
-#include "store/store_update.h"
+#include "store/store_update_log.h"
 #include "store/store_watcher.h"
 
 namespace sycamorestall {
@@ -47,7 +47,6 @@
   class ReadinessHandler;
   class MetricsHandler;
 
-  void ApplyContents(const Store::Contents& contents, const StoreStateOrigin& origin) override;
   void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) override;
   void HandleStoreCall(const StoreCallRecord& call) override;
   void HandleReachability(bool reachable, const std::string& reason) override;
@@ -74,6 +73,7 @@
   bool LeadsAnyService() const;
   // Forwards store updates to the other daemons of the domain.
   void SendStoreUpdates(Instant now);
+  std::vector<DaemonMessage> MakeStoreUpdates(Revision after, Instant now) const;
   void HandleMessage(const DaemonMessage& message);
   void StartRequest(std::shared_ptr<CallerExchange> exchange);
   void Tick();
@@ -103,7 +103,7 @@
   ConnectionPool pool_;
   std::unique_ptr<Store> store_;
   StoreWatcher store_watcher_;
-  StoreUpdateBatcher update_batcher_;
+  StoreUpdateLog update_log_;
   bool watches_for_domain_ = true;
   Instant next_store_update_at_;
   DaemonRegistry registry_;
@@ -129,6 +129,8 @@
     bool stopping = false;
     bool store_unreachable = false;
     std::vector<EndpointLoad> loads;
+    // The revision up to which it knows the store.
+    Revision store_revision;
   };
   std::map<InstanceId, PeerState> peer_states_;
   // The last registered address of each daemon.
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -65,6 +65,7 @@
   }
   message.stopping = stop_requested_at_.has_value();
   message.store_unreachable = store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
+  message.store_revision = store_watcher_.revision();
   message.not_owner_reports = std::exchange(not_owner_reports_, {});
   if (now < next_gossip_at_ && message.not_owner_reports.empty()) {
     return;
@@ -138,26 +139,40 @@
   return sycamorestall::IsStoreWatcher({settings_.instance, self->second.weight}, others);
 }
 
-void RoutingDaemon::SendStoreUpdates(Instant now) {
-  if (!watches_for_domain_ || !store_watcher_.reachable()) {
-    update_batcher_.Reset(store_watcher_.revision());
-    return;
-  }
-  if (now < next_store_update_at_) {
-    return;
-  }
-  next_store_update_at_ = now + kStoreUpdateInterval;
+std::vector<DaemonMessage> RoutingDaemon::MakeStoreUpdates(Revision after, Instant now) const {
   const auto answered_ago =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - store_watcher_.last_answer_at());
-  for (StoreUpdate& update : update_batcher_.DrainUpdates(
-           store_watcher_.revision(), static_cast<std::uint32_t>(answered_ago.count()))) {
+  std::vector<DaemonMessage> messages;
+  for (StoreUpdate& update : update_log_.UpdatesAfter(
+           after, store_watcher_.revision(), static_cast<std::uint32_t>(answered_ago.count()))) {
     DaemonMessage message;
     message.sender = settings_.instance;
     message.store_updates.push_back(std::move(update));
-    for (const auto& [id, peer] : peer_states_) {
-      if (peer.domain == settings_.domain && now - peer.heard_at < kUnregisteredPeerTimeToLive) {
-        transport_.SendTo(id, message);
-      }
+    messages.push_back(std::move(message));
+  }
+  return messages;
+}
+
+void RoutingDaemon::SendStoreUpdates(Instant now) {
+  update_log_.DiscardOld(now);
+  if (!watches_for_domain_ || !store_watcher_.reachable() || now < next_store_update_at_) {
+    return;
+  }
+  next_store_update_at_ = now + kStoreUpdateInterval;
+  // Each daemon gets all that it has not confirmed, so that lost datagrams are made up for.
+  std::map<Revision, std::vector<DaemonMessage>> messages;
+  for (const auto& [id, peer] : peer_states_) {
+    const bool follows = peer.domain == settings_.domain && peer.store_revision.value != 0 &&
+                         now - peer.heard_at < kUnregisteredPeerTimeToLive;
+    if (!follows) {
+      continue;
+    }
+    const auto [entry, is_new] = messages.try_emplace(peer.store_revision);
+    if (is_new) {
+      entry->second = MakeStoreUpdates(peer.store_revision, now);
+    }
+    for (const DaemonMessage& message : entry->second) {
+      transport_.SendTo(id, message);
     }
   }
 }
@@ -183,8 +198,9 @@
   const bool is_gossip = !message.loads.empty() || !message.demands.empty();
   if (is_gossip) {
     domains_.RecordDaemonMessage(message.domain, GossipInterval(), now);
-    peer_states_[message.sender] = {now, message.domain, message.stopping,
-                                    message.store_unreachable, message.loads};
+    peer_states_[message.sender] = {
+        now,           message.domain,        message.stopping, message.store_unreachable,
+        message.loads, message.store_revision};
   }
   for (const StoreUpdate& update : message.store_updates) {
     store_watcher_.ApplyUpdate(update, now);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -41,40 +41,16 @@
   log_.Info(reachable ? "store reachable" : "store unreachable reason=" + reason);
 }
 
-void RoutingDaemon::ApplyContents(const Store::Contents& contents, const StoreStateOrigin& origin) {
-  const Instant now = BootNow();
-  std::set<InstanceId> listed;
-  registry_.ClearEntries();
-  record_items_.clear();
-  for (const StoreItem& item : contents.items) {
-    ApplyItem(item, origin, now);
-    if (formats_.directory.IsEndpointKey(item.key)) {
-      listed.insert(formats_.directory.EndpointIdFromKey(item.key));
-    }
-  }
-  std::vector<InstanceId> missing;
-  for (const auto& [id, state] : fleet_.all()) {
-    if (!listed.contains(id)) {
-      missing.push_back(id);
-    }
-  }
-  for (const InstanceId& id : missing) {
-    log_.Info("endpoint removed id=" + id.value());
-    fleet_.Remove(id);
-    pool_.CloseIdleConnections(id.value());
-  }
-  AddKeyServices();
-  ApplyRecords(now);
-  update_batcher_.Reset(contents.revision);
-}
-
 void RoutingDaemon::ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) {
   const Instant now = BootNow();
+  if (!update_log_.has_begun()) {
+    update_log_.Begin(changes.revision);
+  }
   for (const StoreEvent& event : changes.events) {
     const bool changed =
         event.removed ? RemoveItem(event.item.key) : ApplyItem(event.item, origin, now);
     if (changed) {
-      update_batcher_.Add(event);
+      update_log_.Add(event, now);
     }
   }
   ApplyRecords(now);
@@ -147,6 +123,7 @@
     registry_.RemoveEntry(key);
     return true;
   }
+  record_items_.erase(key);
   return false;
 }
 
--- a/src/store/store_update.cc
+++ b/src/store/store_update.cc
@@ -74,21 +74,16 @@
   return decompressed;
 }
 
-void StoreUpdateBatcher::Reset(Revision revision) {
-  drained_until_ = revision;
-  events_.clear();
-}
-
-std::vector<StoreUpdate> StoreUpdateBatcher::DrainUpdates(Revision revision,
-                                                          std::uint32_t answered_ms_ago) {
+std::vector<StoreUpdate> SplitIntoUpdates(const std::vector<StoreEvent>& events, Revision base,
+                                          Revision revision, std::uint32_t answered_ms_ago) {
   std::vector<StoreUpdate> updates;
-  StoreUpdate current{drained_until_, drained_until_, answered_ms_ago, {}};
+  StoreUpdate current{base, base, answered_ms_ago, {}};
   std::size_t size = 0;
-  const std::vector<RelayedEvent> events = CompressAll(std::exchange(events_, {}));
-  for (auto revision_begin = events.begin(); revision_begin != events.end();) {
+  const std::vector<RelayedEvent> compressed = CompressAll(events);
+  for (auto revision_begin = compressed.begin(); revision_begin != compressed.end();) {
     const Revision event_revision = revision_begin->revision;
     const auto revision_end = std::find_if(
-        revision_begin, events.end(),
+        revision_begin, compressed.end(),
         [event_revision](const RelayedEvent& each) { return each.revision != event_revision; });
     std::size_t revision_size = 0;
     for (auto each = revision_begin; each != revision_end; ++each) {
@@ -100,18 +95,17 @@
           std::exchange(current, {current.revision, current.revision, answered_ms_ago, {}}));
       size = 0;
     }
+    const Revision reached = std::min(event_revision, revision);
     if (too_large) {
-      current.base = event_revision;
-      ++left_out_revisions_;
+      current.base = reached;
     } else {
       current.events.insert(current.events.end(), revision_begin, revision_end);
       size += revision_size;
     }
-    current.revision = event_revision;
+    current.revision = std::max(current.revision, reached);
     revision_begin = revision_end;
   }
   current.revision = std::max(current.revision, revision);
-  drained_until_ = current.revision;
   updates.push_back(std::move(current));
   return updates;
 }
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace sycamorestall {
@@ -71,8 +73,8 @@
 
 std::size_t StoreWatcher::MaxWatchBytes() const {
   std::size_t contents_bytes = 0;
-  for (const auto& [key, bytes] : value_bytes_) {
-    contents_bytes += key.size() + bytes + kItemOverheadBytes;
+  for (const auto& [key, item] : items_) {
+    contents_bytes += key.size() + item.value_bytes + kItemOverheadBytes;
   }
   return std::max(contents_bytes * kEncodingNumerator / kEncodingDenominator, kMinWatchLimitBytes);
 }
@@ -106,14 +108,13 @@
     return;
   }
   reload_needed_ = false;
-  revision_ = contents.revision;
   RecordSuccess(clock_(), std::chrono::milliseconds{0});
-  value_bytes_.clear();
-  for (const StoreItem& each : contents.items) {
-    value_bytes_[each.key] = each.value.size();
+  if (contents.revision < revision_) {
+    // Updates that are more recent came meanwhile.
+    return;
   }
-  observer_.ApplyContents(contents,
-                          {StoreStateSource::kRead, clock_() - call_sent_at_, contents.transfer});
+  ApplyEvents(EventsLeadingTo(contents), contents.revision,
+              {StoreStateSource::kRead, clock_() - call_sent_at_, contents.transfer});
 }
 
 void StoreWatcher::HandleWatchResult(std::error_code error, const Store::Changes& changes) {
@@ -129,30 +130,52 @@
     return;
   }
   RecordSuccess(clock_(), changes.events.empty() ? std::chrono::milliseconds{0} : kBatchDelay);
-  ApplyEvents(changes.events, changes.revision,
+  std::vector<StoreEvent> events;
+  // An update may have brought them earlier.
+  std::copy_if(changes.events.begin(), changes.events.end(), std::back_inserter(events),
+               [this](const StoreEvent& each) { return IsNew(each.item.key, each.item.revision); });
+  ApplyEvents(events, changes.revision,
               {StoreStateSource::kWatch, clock_() - call_sent_at_, changes.transfer});
 }
 
+std::vector<StoreEvent> StoreWatcher::EventsLeadingTo(const Store::Contents& contents) const {
+  std::vector<StoreEvent> events;
+  std::set<std::string_view> listed;
+  for (const StoreItem& item : contents.items) {
+    listed.insert(item.key);
+    const auto known = items_.find(item.key);
+    if (known == items_.end() || known->second.revision != item.revision) {
+      events.push_back({item, false});
+    }
+  }
+  for (const auto& [key, item] : items_) {
+    if (!listed.contains(key)) {
+      events.push_back({{key, "", contents.revision}, true});
+    }
+  }
+  return events;
+}
+
 void StoreWatcher::ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                                const StoreStateOrigin& origin) {
-  // Events may arrive late or twice, from the store and from another daemon.
-  Store::Changes changes;
-  std::copy_if(events.begin(), events.end(), std::back_inserter(changes.events),
-               [this](const StoreEvent& each) { return each.item.revision > revision_; });
-  revision_ = std::max(revision_, revision);
-  changes.revision = revision_;
-  for (const StoreEvent& each : changes.events) {
+  for (const StoreEvent& each : events) {
     if (each.removed) {
-      value_bytes_.erase(each.item.key);
+      items_.erase(each.item.key);
     } else {
-      value_bytes_[each.item.key] = each.item.value.size();
+      items_[each.item.key] = {each.item.revision, each.item.value.size()};
     }
   }
-  observer_.ApplyChanges(changes, origin);
+  revision_ = std::max(revision_, revision);
+  observer_.ApplyChanges({events, revision_}, origin);
+}
+
+bool StoreWatcher::IsNew(const std::string& key, Revision revision) const {
+  const auto known = items_.find(key);
+  return revision > revision_ && (known == items_.end() || revision > known->second.revision);
 }
 
 void StoreWatcher::ApplyUpdate(const StoreUpdate& update, Instant now) {
-  if (reload_needed_) {
+  if (!loaded()) {
     return;
   }
   last_update_at_ = now;
@@ -160,13 +183,11 @@
     missing_until_ = std::max(missing_until_, update.revision);
     return;
   }
-  last_answer_at_ =
-      std::max(last_answer_at_, now - std::chrono::milliseconds{update.answered_ms_ago});
-  if (update.revision <= revision_) {
-    return;
-  }
   std::vector<StoreEvent> events;
   for (const RelayedEvent& each : update.events) {
+    if (!IsNew(each.key, each.revision)) {
+      continue;
+    }
     auto event = DecompressEvent(each);
     if (!event) {
       // The value cannot be decompressed, so the next tick fetches the event from the store.
@@ -175,8 +196,14 @@
     }
     events.push_back(std::move(*event));
   }
-  ApplyEvents(events, update.revision,
-              {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}});
+  // The update leads here from the known revision, however long ago that was.
+  reload_needed_ = false;
+  last_answer_at_ =
+      std::max(last_answer_at_, now - std::chrono::milliseconds{update.answered_ms_ago});
+  if (update.revision > revision_ || !events.empty()) {
+    ApplyEvents(events, update.revision,
+                {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}});
+  }
 }
 
 void StoreWatcher::RecordCallResult(std::error_code error) {
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -42,9 +42,7 @@
  public:
   virtual ~StoreObserver() = default;
 
-  // Replaces all earlier contents: a key that is not listed does not exist.
-  virtual void ApplyContents(const Store::Contents& contents, const StoreStateOrigin& origin) = 0;
-  // Applies events, oldest first.
+  // Applies events. Those of one key come oldest first, and not all of them need to come.
   virtual void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) = 0;
   // A read or watch has finished.
   virtual void HandleStoreCall(const StoreCallRecord& call) = 0;
@@ -52,8 +50,8 @@
   virtual void HandleReachability(bool reachable, const std::string& reason) = 0;
 };
 
-// Tracks the store: reads all items once, then watches all keys. After each change it delays the
-// next watch, so that changes arrive in batches.
+// Tracks the store: reads all items, then watches all keys. After each change it delays the next
+// watch, so that changes arrive in batches.
 //
 // Store calls cost money, so only one daemon per domain has to watch. The others rely on the
 // updates that it relays, and call the store themselves while updates are late, outdated or
@@ -98,7 +96,11 @@
   bool HasFreshUpdates(Instant now) const;
   void HandleReadResult(std::error_code error, const Store::Contents& contents);
   void HandleWatchResult(std::error_code error, const Store::Changes& changes);
-  // Passes the events that are newer than the known revision to the observer.
+  // The events that lead from the known items to the contents.
+  std::vector<StoreEvent> EventsLeadingTo(const Store::Contents& contents) const;
+  // Whether an event of the key at the revision is not known yet.
+  bool IsNew(const std::string& key, Revision revision) const;
+  // Passes new events to the observer.
   void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                    const StoreStateOrigin& origin);
   // Why the store is called, for the log.
@@ -130,8 +132,12 @@
   Instant unreachable_since_;
   std::uint32_t consecutive_failures_ = 0;
   Instant last_update_at_;
-  // The size of the value of each known key.
-  std::map<std::string, std::size_t> value_bytes_;
+  // What is known of a key's item.
+  struct KnownItem {
+    Revision revision;
+    std::size_t value_bytes = 0;
+  };
+  std::map<std::string, KnownItem> items_;
   // Relayed events up to this revision may be missing here.
   Revision missing_until_;
 };
