Send large values as differences from what the receiver has

Callers got 404 for new routes although the version had been relayed: each version of a configuration of 1,300 routes took a datagram of tens of kilobytes, which is lost as a whole if any part of it is, and a longer one did not fit at all, so that each daemon had to fetch it from the store.

A relayed value is now compressed with zstd against the version that the receiver had confirmed; both keep recent versions of large values.

--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -34,7 +34,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, RelayedEvent& event) {
-  archive(event.key, event.value, event.revision, event.removed, event.uncompressed_bytes);
+  archive(event.key, event.value, event.revision, event.removed, event.uncompressed_bytes,
+          event.earlier_revision);
 }
 template <typename Archive>
 void serialize(Archive& archive, StoreUpdate& update) {
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -144,7 +144,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now - store_watcher_.last_answer_at());
   std::vector<DaemonMessage> messages;
   for (StoreUpdate& update : update_log_.UpdatesAfter(
-           after, store_watcher_.revision(), static_cast<std::uint32_t>(answered_ago.count()))) {
+           after, store_watcher_.revision(), static_cast<std::uint32_t>(answered_ago.count()),
+           store_watcher_.values())) {
     DaemonMessage message;
     message.sender = settings_.instance;
     message.store_updates.push_back(std::move(update));
--- a/src/store/store_update.cc
+++ b/src/store/store_update.cc
@@ -1,11 +1,10 @@
 #include "store/store_update.h"
 
-#include <zlib.h>
-
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "store/value_compression.h"
+
 namespace sycamorestall {
 
 namespace {
@@ -18,7 +17,7 @@
 constexpr std::size_t kEventOverheadBytes = 32;
 
 // Values of at least this size are compressed: configurations with many routes are far
-// larger than a datagram and shrink to a tenth.
+// larger than a datagram.
 constexpr std::size_t kMinCompressedBytes = 1024;
 // The store holds no larger values.
 constexpr std::uint32_t kMaxValueBytes = 16U * 1024 * 1024;
@@ -27,63 +26,57 @@
   return event.key.size() + event.value.size() + kEventOverheadBytes;
 }
 
-std::vector<RelayedEvent> CompressAll(const std::vector<StoreEvent>& events) {
-  std::vector<RelayedEvent> compressed;
-  compressed.reserve(events.size());
-  std::transform(events.begin(), events.end(), std::back_inserter(compressed), CompressEvent);
-  return compressed;
-}
-
 }  // namespace
 
-RelayedEvent CompressEvent(const StoreEvent& event) {
-  RelayedEvent compressed{event.item.key, event.item.value, event.item.revision, event.removed, 0};
-  if (event.item.value.size() < kMinCompressedBytes) {
+RelayedEvent CompressEvent(const StoreEvent& event, const StoreItem* earlier) {
+  const std::string& value = event.item.value;
+  RelayedEvent compressed{event.item.key, value, event.item.revision, event.removed, 0, {}};
+  if (value.size() < kMinCompressedBytes) {
     return compressed;
   }
-  uLongf size = compressBound(event.item.value.size());
-  std::string bytes(size, '\0');
-  const int result = compress2(reinterpret_cast<Bytef*>(bytes.data()), &size,
-                               reinterpret_cast<const Bytef*>(event.item.value.data()),
-                               event.item.value.size(), Z_BEST_SPEED);
-  if (result != Z_OK || size >= event.item.value.size()) {
+  auto bytes = CompressValue(value, earlier == nullptr ? "" : earlier->value);
+  if (!bytes || bytes->size() >= value.size()) {
     return compressed;
   }
-  bytes.resize(size);
-  compressed.value = std::move(bytes);
-  compressed.uncompressed_bytes = static_cast<std::uint32_t>(event.item.value.size());
+  compressed.value = std::move(*bytes);
+  compressed.uncompressed_bytes = static_cast<std::uint32_t>(value.size());
+  compressed.earlier_revision = earlier == nullptr ? Revision{} : earlier->revision;
   return compressed;
 }
 
-std::optional<StoreEvent> DecompressEvent(const RelayedEvent& event) {
+std::optional<StoreEvent> DecompressEvent(const RelayedEvent& event, const ValueHistory& values) {
   StoreEvent decompressed{{event.key, event.value, event.revision}, event.removed};
   if (event.uncompressed_bytes == 0) {
     return decompressed;
   }
+  const StoreItem* earlier = nullptr;
+  if (event.earlier_revision.value != 0) {
+    earlier = values.Find(event.key, event.earlier_revision);
+    if (earlier == nullptr) {
+      return std::nullopt;
+    }
+  }
   if (event.uncompressed_bytes > kMaxValueBytes) {
     return std::nullopt;
   }
-  uLongf size = event.uncompressed_bytes;
-  decompressed.item.value.assign(size, '\0');
-  const int result =
-      uncompress(reinterpret_cast<Bytef*>(decompressed.item.value.data()), &size,
-                 reinterpret_cast<const Bytef*>(event.value.data()), event.value.size());
-  if (result != Z_OK || size != event.uncompressed_bytes) {
+  auto value = DecompressValue(event.value, event.uncompressed_bytes,
+                               earlier == nullptr ? "" : earlier->value);
+  if (!value) {
     return std::nullopt;
   }
+  decompressed.item.value = std::move(*value);
   return decompressed;
 }
 
-std::vector<StoreUpdate> SplitIntoUpdates(const std::vector<StoreEvent>& events, Revision base,
+std::vector<StoreUpdate> SplitIntoUpdates(const std::vector<RelayedEvent>& events, Revision base,
                                           Revision revision, std::uint32_t answered_ms_ago) {
   std::vector<StoreUpdate> updates;
   StoreUpdate current{base, base, answered_ms_ago, {}};
   std::size_t size = 0;
-  const std::vector<RelayedEvent> compressed = CompressAll(events);
-  for (auto revision_begin = compressed.begin(); revision_begin != compressed.end();) {
+  for (auto revision_begin = events.begin(); revision_begin != events.end();) {
     const Revision event_revision = revision_begin->revision;
     const auto revision_end = std::find_if(
-        revision_begin, compressed.end(),
+        revision_begin, events.end(),
         [event_revision](const RelayedEvent& each) { return each.revision != event_revision; });
     std::size_t revision_size = 0;
     for (auto each = revision_begin; each != revision_end; ++each) {
--- a/src/store/store_update_log.h
+++ b/src/store/store_update_log.h
@@ -21,10 +21,12 @@
   void DiscardOld(Instant now);
 
   // Returns the updates that bring a receiver from one revision to another; always at least one.
+  // `values` has the versions of large values at the receiver's revision.
   // Only the latest event of each key is in them. A base later than the receiver's revision tells
   // it that earlier events are missing: they were discarded, or are too large for a datagram.
   std::vector<StoreUpdate> UpdatesAfter(Revision after, Revision revision,
-                                        std::uint32_t answered_ms_ago) const;
+                                        std::uint32_t answered_ms_ago,
+                                        const ValueHistory& values) const;
 
  private:
   struct Entry {
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -158,11 +158,15 @@
 
 void StoreWatcher::ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                                const StoreStateOrigin& origin) {
+  const Instant now = clock_();
+  values_.DiscardOld(now);
   for (const StoreEvent& each : events) {
     if (each.removed) {
       items_.erase(each.item.key);
+      values_.Remove(each.item.key);
     } else {
       items_[each.item.key] = {each.item.revision, each.item.value.size()};
+      values_.Put(each.item, now);
     }
   }
   revision_ = std::max(revision_, revision);
@@ -188,7 +192,7 @@
     if (!IsNew(each.key, each.revision)) {
       continue;
     }
-    auto event = DecompressEvent(each);
+    auto event = DecompressEvent(each, values_);
     if (!event) {
       // The value cannot be decompressed, so the next tick fetches the event from the store.
       missing_until_ = std::max(missing_until_, update.revision);
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -90,6 +90,8 @@
   // Whether the contents have been read at least once.
   bool loaded() const { return revision_.value != 0; }
   Revision revision() const { return revision_; }
+  // The recent versions of large values.
+  const ValueHistory& values() const { return values_; }
 
  private:
   // Whether relayed updates are recent and complete enough to replace the watch.
@@ -138,6 +140,7 @@
     std::size_t value_bytes = 0;
   };
   std::map<std::string, KnownItem> items_;
+  ValueHistory values_;
   // Relayed events up to this revision may be missing here.
   Revision missing_until_;
 };
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -55,7 +55,7 @@
                        const std::vector<StoreEvent>& events) {
   StoreUpdate update{{base}, {revision}, 0, {}};
   for (const StoreEvent& each : events) {
-    update.events.push_back(CompressEvent(each));
+    update.events.push_back(CompressEvent(each, nullptr));
   }
   return update;
 }
@@ -222,7 +222,11 @@
   };
   for (const Row& row : rows) {
     CAPTURE(std::string(row.name));
-    const std::vector<StoreUpdate> updates = SplitIntoUpdates(row.events, {5}, {9}, 0);
+    std::vector<RelayedEvent> events;
+    for (const StoreEvent& each : row.events) {
+      events.push_back(CompressEvent(each, nullptr));
+    }
+    const std::vector<StoreUpdate> updates = SplitIntoUpdates(events, {5}, {9}, 0);
     REQUIRE(updates.size() == row.expected_updates.size());
     for (std::size_t i = 0; i < updates.size(); ++i) {
       CHECK(updates[i].base.value == row.expected_updates[i].base);
