Send updates also to daemons that are not heard

Updates now go to all daemons registered in the domain, which a daemon's entry names for this. One that is not heard gets the changes of the last 5 s each time, as what it has confirmed is not known.

--- a/src/router/daemon_registry.cc
+++ b/src/router/daemon_registry.cc
@@ -61,8 +61,10 @@
 void DaemonRegistry::WriteEntry() {
   phase_ = Phase::kWritingEntry;
   StoreTransaction transaction;
-  const json value{
-      {"host", self_.address.host}, {"port", self_.address.port}, {"weight", self_.weight}};
+  const json value{{"host", self_.address.host},
+                   {"port", self_.address.port},
+                   {"weight", self_.weight},
+                   {"domain", self_.domain.value()}};
   transaction.puts.push_back({OwnEntryKey(), value.dump(), lease_});
   store_.Commit(transaction, [this](std::error_code error, Revision /*revision*/) {
     on_store_call_(error);
@@ -114,7 +116,9 @@
     const json value = json::parse(item.value);
     daemons_[InstanceId{item.key.substr(kDaemonKeyPrefix.size())}] = {
         {value.at("host").get<std::string>(), value.at("port").get<std::uint16_t>()},
-        value.at("weight").get<double>()};
+        value.at("weight").get<double>(),
+        // Earlier versions do not write it.
+        DomainName{value.value("domain", std::string{})}};
   } catch (const json::exception& error) {
     log_("malformed daemon entry key=" + item.key + " reason=" + error.what());
   }
--- a/src/router/daemon_registry.h
+++ b/src/router/daemon_registry.h
@@ -19,6 +19,7 @@
   NetworkAddress address;
   // Capacity relative to other daemons.
   double weight = 1;
+  DomainName domain;
 
   friend bool operator==(const RegisteredDaemon&, const RegisteredDaemon&) = default;
 };
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -87,7 +87,7 @@
       store_(make_store(pool_)),
       store_watcher_(*store_, *this, BootNow),
       registry_(
-          *store_, settings_.instance, RegisteredDaemon{settings_.peer, settings_.weight},
+          *store_, settings_.instance, RegisteredDaemon{settings_.peer, settings_.weight, settings_.domain},
           [this](const std::string& text) { log_.Info(text); },
           [this](std::error_code error) { store_watcher_.RecordCallResult(error); }),
       transport_(context_, settings_.peer,
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -74,6 +74,8 @@
   // Forwards store updates to the other daemons of the domain.
   void SendStoreUpdates(Instant now);
   std::vector<DaemonMessage> MakeStoreUpdates(Revision after, Instant now) const;
+  // The other daemons of the domain, with the revision after which they need updates.
+  std::map<InstanceId, Revision> Followers(Instant now) const;
   void HandleMessage(const DaemonMessage& message);
   void StartRequest(std::shared_ptr<CallerExchange> exchange);
   void Tick();
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -18,6 +18,9 @@
 // A daemon that watches the store updates the others of its domain at least this often.
 constexpr std::chrono::milliseconds kStoreUpdateInterval{400};
 constexpr std::chrono::milliseconds kUnregisteredPeerTimeToLive{10000};
+// Daemons that are not heard get the changes of this time again and again: their messages may be
+// lost on a full link while others still arrive there.
+constexpr std::chrono::milliseconds kUnconfirmedUpdateTime{5000};
 // A daemon reports the store as unreachable after this time; it then cannot lead.
 constexpr std::chrono::milliseconds kStoreUnreachableDelay{600};
 // A hand-over is sent more than once because datagrams get lost.
@@ -160,17 +163,11 @@
     return;
   }
   next_store_update_at_ = now + kStoreUpdateInterval;
-  // Each daemon gets all that it has not confirmed, so that lost datagrams are made up for.
   std::map<Revision, std::vector<DaemonMessage>> messages;
-  for (const auto& [id, peer] : peer_states_) {
-    const bool follows = peer.domain == settings_.domain && peer.store_revision.value != 0 &&
-                         now - peer.heard_at < kUnregisteredPeerTimeToLive;
-    if (!follows) {
-      continue;
-    }
-    const auto [entry, is_new] = messages.try_emplace(peer.store_revision);
+  for (const auto& [id, revision] : Followers(now)) {
+    const auto [entry, is_new] = messages.try_emplace(revision);
     if (is_new) {
-      entry->second = MakeStoreUpdates(peer.store_revision, now);
+      entry->second = MakeStoreUpdates(revision, now);
     }
     for (const DaemonMessage& message : entry->second) {
       transport_.SendTo(id, message);
@@ -178,6 +175,25 @@
   }
 }
 
+std::map<InstanceId, Revision> RoutingDaemon::Followers(Instant now) const {
+  const Revision recent = update_log_.RevisionBefore(now - kUnconfirmedUpdateTime);
+  std::map<InstanceId, Revision> followers;
+  for (const auto& [id, daemon] : registry_.daemons()) {
+    if (daemon.domain == settings_.domain) {
+      followers[id] = recent;
+    }
+  }
+  for (const auto& [id, peer] : peer_states_) {
+    const Duration silence = now - peer.heard_at;
+    if (peer.domain == settings_.domain && silence < kUnregisteredPeerTimeToLive) {
+      const bool confirmed = silence < kPeerStateTimeToLive;
+      followers[id] = confirmed ? peer.store_revision : std::max(peer.store_revision, recent);
+    }
+  }
+  followers.erase(settings_.instance);
+  return followers;
+}
+
 void RoutingDaemon::UpdatePeerLoads(Instant now) {
   std::map<InstanceId, std::size_t> in_flight_by_endpoint;
   for (const auto& [peer, state] : peer_states_) {
--- a/src/store/store_update_log.cc
+++ b/src/store/store_update_log.cc
@@ -31,6 +31,17 @@
   }
 }
 
+Revision StoreUpdateLog::RevisionBefore(Instant time) const {
+  Revision revision = complete_after_;
+  for (const Entry& each : entries_) {
+    if (each.added_at >= time) {
+      break;
+    }
+    revision = std::max(revision, each.event.item.revision);
+  }
+  return revision;
+}
+
 std::vector<StoreEvent> StoreUpdateLog::LatestEventsAfter(Revision after) const {
   std::map<std::string, const StoreEvent*> latest;
   for (const Entry& each : entries_) {
--- a/src/store/store_update_log.h
+++ b/src/store/store_update_log.h
@@ -20,6 +20,8 @@
   // Discards events that were added too long ago.
   void DiscardOld(Instant now);
 
+  // The revision after which the events were added since the given time.
+  Revision RevisionBefore(Instant time) const;
   // Returns the updates that bring a receiver from one revision to another; always at least one.
   // `values` has the versions of large values at the receiver's revision.
   // Only the latest event of each key is in them. A base later than the receiver's revision tells
