Let a daemon that has just started not watch for its domain

Of the daemons of a domain one that knows the changes of the last 5 s watches if there is any; each says in its gossip whether it does.

--- a/src/core/watcher_choice.cc
+++ b/src/core/watcher_choice.cc
@@ -8,7 +8,8 @@
 bool IsStoreWatcher(const StoreWatchCandidate& self,
                     const std::vector<StoreWatchCandidate>& others) {
   return std::none_of(others.begin(), others.end(), [&](const StoreWatchCandidate& each) {
-    return std::tuple{-each.weight, each.id} < std::tuple{-self.weight, self.id};
+    return std::tuple{!each.knows_recent_changes, -each.weight, each.id} <
+           std::tuple{!self.knows_recent_changes, -self.weight, self.id};
   });
 }
 
--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -52,7 +52,7 @@
   std::ostringstream out;
   {
     cereal::BinaryOutputArchive archive{out};
-    archive(message, message.store_revision);
+    archive(message, message.store_revision, message.knows_recent_changes);
   }
   return out.str();
 }
@@ -63,9 +63,9 @@
     cereal::BinaryInputArchive archive{in};
     DaemonMessage message;
     archive(message);
-    // Earlier versions do not send it.
+    // Earlier versions do not send these.
     if (in.peek() != std::istringstream::traits_type::eof()) {
-      archive(message.store_revision);
+      archive(message.store_revision, message.knows_recent_changes);
     }
     return message;
   } catch (const std::exception&) {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -82,6 +82,8 @@
   std::vector<StoreUpdate> store_updates;
   // The revision up to which the sender knows the store; 0 if it does not.
   Revision store_revision;
+  // Whether the sender knows the store's changes of the last seconds.
+  bool knows_recent_changes = false;
 };
 
 // Serializes a message.
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -67,6 +67,8 @@
   void ApplyRecordItem(const StoreItem& item);
   void ApplyRecords(Instant now);
   void AddKeyServices();
+  // Whether this daemon can make up for updates that others missed.
+  bool KnowsRecentChanges(Instant now) const;
   // Whether this daemon watches the store for its domain.
   bool WatchesForDomain(Instant now) const;
   // Whether this daemon leads any service; a leader always watches the store itself.
@@ -133,6 +135,7 @@
     std::vector<EndpointLoad> loads;
     // The revision up to which it knows the store.
     Revision store_revision;
+    bool knows_recent_changes = false;
   };
   std::map<InstanceId, PeerState> peer_states_;
   // The last registered address of each daemon.
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -69,6 +69,7 @@
   message.stopping = stop_requested_at_.has_value();
   message.store_unreachable = store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
   message.store_revision = store_watcher_.revision();
+  message.knows_recent_changes = KnowsRecentChanges(now);
   message.not_owner_reports = std::exchange(not_owner_reports_, {});
   if (now < next_gossip_at_ && message.not_owner_reports.empty()) {
     return;
@@ -124,6 +125,10 @@
                      [](const auto& each) { return each.second->is_leader(); });
 }
 
+bool RoutingDaemon::KnowsRecentChanges(Instant now) const {
+  return update_log_.ReachesBackTo(now - kUnconfirmedUpdateTime);
+}
+
 bool RoutingDaemon::WatchesForDomain(Instant now) const {
   const auto self = registry_.daemons().find(settings_.instance);
   if (self == registry_.daemons().end()) {
@@ -136,10 +141,11 @@
                           now - peer.heard_at < kPeerStateTimeToLive && !peer.stopping &&
                           !peer.store_unreachable && daemon != registry_.daemons().end();
     if (eligible) {
-      others.push_back({id, daemon->second.weight});
+      others.push_back({id, peer.knows_recent_changes, daemon->second.weight});
     }
   }
-  return sycamorestall::IsStoreWatcher({settings_.instance, self->second.weight}, others);
+  return sycamorestall::IsStoreWatcher(
+      {settings_.instance, KnowsRecentChanges(now), self->second.weight}, others);
 }
 
 std::vector<DaemonMessage> RoutingDaemon::MakeStoreUpdates(Revision after, Instant now) const {
@@ -215,9 +221,13 @@
   const bool is_gossip = !message.loads.empty() || !message.demands.empty();
   if (is_gossip) {
     domains_.RecordDaemonMessage(message.domain, GossipInterval(), now);
-    peer_states_[message.sender] = {
-        now,           message.domain,        message.stopping, message.store_unreachable,
-        message.loads, message.store_revision};
+    peer_states_[message.sender] = {now,
+                                    message.domain,
+                                    message.stopping,
+                                    message.store_unreachable,
+                                    message.loads,
+                                    message.store_revision,
+                                    message.knows_recent_changes};
   }
   for (const StoreUpdate& update : message.store_updates) {
     store_watcher_.ApplyUpdate(update, now);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -44,7 +44,7 @@
 void RoutingDaemon::ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) {
   const Instant now = BootNow();
   if (!update_log_.has_begun()) {
-    update_log_.Begin(changes.revision);
+    update_log_.Begin(changes.revision, now);
   }
   for (const StoreEvent& event : changes.events) {
     const bool changed =
--- a/src/store/store_update_log.cc
+++ b/src/store/store_update_log.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-void StoreUpdateLog::Begin(Revision revision) {
-  begun_ = true;
+void StoreUpdateLog::Begin(Revision revision, Instant now) {
+  begun_at_ = now;
   complete_after_ = revision;
 }
 
--- a/src/store/store_update_log.h
+++ b/src/store/store_update_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include "core/boot_clock.h"
@@ -13,8 +14,10 @@
 class StoreUpdateLog {
  public:
   // Starts the log: events up to the revision are not in it. Until then nothing is added.
-  void Begin(Revision revision);
-  bool has_begun() const { return begun_; }
+  void Begin(Revision revision, Instant now);
+  bool has_begun() const { return begun_at_.has_value(); }
+  // Whether the log has all changes since the given time.
+  bool ReachesBackTo(Instant time) const { return begun_at_ && *begun_at_ <= time; }
   // Adds an event that changed something in this daemon, unless the log begins after it.
   void Add(const StoreEvent& event, Instant now);
   // Discards events that were added too long ago.
@@ -38,7 +41,7 @@
 
   std::vector<StoreEvent> LatestEventsAfter(Revision after) const;
 
-  bool begun_ = false;
+  std::optional<Instant> begun_at_;
   // All events after this revision are in the log.
   Revision complete_after_;
   std::deque<Entry> entries_;
--- a/tests/store/store_update_log_test.cc
+++ b/tests/store/store_update_log_test.cc
@@ -27,7 +27,7 @@
  public:
   void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& /*origin*/) override {
     if (!log.has_begun()) {
-      log.Begin(changes.revision);
+      log.Begin(changes.revision, g_now);
     }
     for (const StoreEvent& event : changes.events) {
       if (event.removed) {
@@ -205,3 +205,17 @@
     CHECK(domain.following.items == expected);
   }
 }
+
+TEST_CASE("a slow call to the store is abandoned once updates have replaced it") {
+  Domain domain;
+  g_now += milliseconds{950};
+  domain.following.watcher.Tick(g_now);
+  REQUIRE(domain.following.store.watching());
+  g_now += milliseconds{500};
+  domain.SendUpdates();
+  CHECK(domain.following.store.watching());
+  g_now += milliseconds{600};
+  domain.SendUpdates();
+  CHECK_FALSE(domain.following.store.watching());
+  CHECK(domain.FollowerCalls() == 1);
+}
