Abandon a slow call to the store once updates have replaced it

A read or watch that filled a congested link went on although updates from another daemon had made it superfluous.

--- a/src/store/store.h
+++ b/src/store/store.h
@@ -130,6 +130,8 @@
   // answer has more bytes than given.
   virtual void Watch(Revision after, std::chrono::milliseconds wait, std::size_t max_bytes,
                      ChangesCallback callback) = 0;
+  // Abandons running reads and watches; their callbacks do not run.
+  virtual void AbandonReads() = 0;
   // Applies a transaction; the callback gets its revision. Fails with kConflict if a condition
   // does not hold.
   virtual void Commit(const StoreTransaction& transaction, CommitCallback callback) = 0;
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -15,6 +15,8 @@
 // The store answers a watch after this time even if nothing changed, so that a dead
 // connection is detected soon.
 constexpr std::chrono::milliseconds kWatchWait{800};
+// A call that takes longer than this fills a congested link.
+constexpr std::chrono::milliseconds kAbandonDelay{1000};
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
 // After a longer gap all contents are read, which is less data than all changes since.
@@ -79,7 +81,19 @@
   return std::max(contents_bytes * kEncodingNumerator / kEncodingDenominator, kMinWatchLimitBytes);
 }
 
+void StoreWatcher::AbandonReplacedCall(Instant now) {
+  const bool replaced = call_pending_ && now - call_sent_at_ > kAbandonDelay && !reload_needed_ &&
+                        HasFreshUpdates(now);
+  if (!replaced) {
+    return;
+  }
+  store_.AbandonReads();
+  call_pending_ = false;
+  next_call_at_ = now;
+}
+
 void StoreWatcher::Tick(Instant now) {
+  AbandonReplacedCall(now);
   if (call_pending_ || now < next_call_at_ || (!reload_needed_ && HasFreshUpdates(now))) {
     return;
   }
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -63,7 +63,7 @@
   StoreWatcher(Store& store, StoreObserver& observer, Clock clock)
       : store_(store), observer_(observer), clock_(clock) {}
 
-  // Starts the next store call if one is due.
+  // Starts the next store call if one is due, and abandons a slow one that updates have replaced.
   void Tick(Instant now);
   // Sets whether this daemon watches the store even while it receives updates.
   void SetWatching(bool watching) { watching_ = watching; }
@@ -105,6 +105,7 @@
   // Passes new events to the observer.
   void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                    const StoreStateOrigin& origin);
+  void AbandonReplacedCall(Instant now);
   // Why the store is called, for the log.
   const char* CallReason(Instant now) const;
   // The size beyond which an answer to a watch takes longer than a read of everything.
--- a/tests/store/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -20,6 +20,10 @@
     last_watch_revision_ = after;
     watch_callback_ = std::move(callback);
   }
+  void AbandonReads() override {
+    read_callback_ = nullptr;
+    watch_callback_ = nullptr;
+  }
   void Commit(const StoreTransaction& /*transaction*/, CommitCallback /*callback*/) override {}
   void OpenLease(std::chrono::milliseconds /*time_to_live*/, LeaseCallback /*callback*/) override {}
   void RenewLease(LeaseId /*lease*/, LeaseCallback /*callback*/) override {}
