Count the age of what is known from the first byte of its answer

A daemon that got an answer over 3 s took itself, and what it relayed, for up to date as of the last byte.

--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -101,7 +101,7 @@
   call_sent_at_ = now;
   call_sent_revision_ = revision_;
   call_reason_ = CallReason(now);
-  if (reload_needed_ || now - last_answer_at_ > kMaxWatchGap) {
+  if (reload_needed_ || now - last_arrival_at_ > kMaxWatchGap) {
     reload_needed_ = true;
     store_.ReadAll([this](std::error_code error, const Store::Contents& contents) {
       HandleReadResult(error, contents);
@@ -122,7 +122,7 @@
     return;
   }
   reload_needed_ = false;
-  RecordSuccess(clock_(), std::chrono::milliseconds{0});
+  RecordSuccess(call_sent_at_, std::chrono::milliseconds{0});
   if (contents.revision < revision_) {
     // Updates that are more recent came meanwhile.
     return;
@@ -143,7 +143,9 @@
     RecordFailure(error);
     return;
   }
-  RecordSuccess(clock_(), changes.events.empty() ? std::chrono::milliseconds{0} : kBatchDelay);
+  // A long answer may be seconds old once its last byte arrives.
+  RecordSuccess(clock_() - changes.transfer.time,
+                changes.events.empty() ? std::chrono::milliseconds{0} : kBatchDelay);
   std::vector<StoreEvent> events;
   // An update may have brought them earlier.
   std::copy_if(changes.events.begin(), changes.events.end(), std::back_inserter(events),
@@ -216,6 +218,7 @@
   }
   // The update leads here from the known revision, however long ago that was.
   reload_needed_ = false;
+  last_arrival_at_ = now;
   last_answer_at_ =
       std::max(last_answer_at_, now - std::chrono::milliseconds{update.answered_ms_ago});
   if (update.revision > revision_ || !events.empty()) {
@@ -238,9 +241,11 @@
   }
 }
 
-void StoreWatcher::RecordSuccess(Instant now, std::chrono::milliseconds delay) {
+void StoreWatcher::RecordSuccess(Instant answered_at, std::chrono::milliseconds delay) {
+  const Instant now = clock_();
   confirmed_at_ = call_sent_at_;
-  last_answer_at_ = now;
+  last_answer_at_ = std::max(last_answer_at_, answered_at);
+  last_arrival_at_ = now;
   next_call_at_ = now + delay;
   consecutive_failures_ = 0;
   SetReachable(now);
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -112,7 +112,8 @@
   std::size_t MaxWatchBytes() const;
   void ReportCall(StoreStateSource call, std::error_code error, Revision to,
                   const StoreTransfer& transfer);
-  void RecordSuccess(Instant now, std::chrono::milliseconds delay);
+  // `answered_at` is when the store gave the answer.
+  void RecordSuccess(Instant answered_at, std::chrono::milliseconds delay);
   void RecordFailure(std::error_code error);
   void SetReachable(Instant now);
   void SetUnreachable(Instant now, std::error_code error);
@@ -131,6 +132,8 @@
   Instant next_call_at_;
   Instant confirmed_at_;
   Instant last_answer_at_;
+  // When the latest answer or complete update arrived.
+  Instant last_arrival_at_;
   Instant reachable_since_;
   Instant unreachable_since_;
   std::uint32_t consecutive_failures_ = 0;
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -251,3 +251,32 @@
   CHECK(receiver.store.reading());
   CHECK(receiver.observer.reachable);
 }
+
+TEST_CASE("the age of what is known counts from the first byte of the answer that brought it") {
+  struct Row {
+    std::string name;
+    bool read;
+    milliseconds transfer;
+    milliseconds age;
+  };
+  const Row rows[] = {
+      {"watch", false, milliseconds{3000}, milliseconds{3000}},
+      {"read, whose pages are no snapshot", true, milliseconds{1000}, milliseconds{3500}}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    UpdateReceiver receiver;
+    receiver.watcher.SetWatching(true);
+    g_now += row.read ? milliseconds{5000} : milliseconds{20};
+    receiver.watcher.Tick(g_now);
+    g_now += milliseconds{3500};
+    if (row.read) {
+      receiver.store.AnswerRead({{}, {11}, {0, row.transfer}});
+    } else {
+      receiver.store.AnswerWatch({{}, {11}, {0, row.transfer}});
+    }
+    CHECK(g_now - receiver.watcher.last_answer_at() == row.age);
+    g_now += milliseconds{800};
+    receiver.watcher.Tick(g_now);
+    CHECK(receiver.store.watching());
+  }
+}
