--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -27,8 +27,8 @@
 constexpr std::chrono::milliseconds kMaxUpdateSilence{900};
 constexpr std::chrono::milliseconds kMaxAnswerAge{1650};
 
-// Answers to a watch may always be this large.
-constexpr std::size_t kMinWatchLimitBytes = std::size_t{128} * 1024;
+// Answers to a watch may be larger than all contents by this: a second call takes as long.
+constexpr std::size_t kWatchAllowanceBytes = std::size_t{128} * 1024;
 // Approximate size of an item in an answer without its key and value.
 constexpr std::size_t kItemOverheadBytes = 100;
 // Growth of values by base64.
@@ -78,7 +78,7 @@
   for (const auto& [key, item] : items_) {
     contents_bytes += key.size() + item.value_bytes + kItemOverheadBytes;
   }
-  return std::max(contents_bytes * kEncodingNumerator / kEncodingDenominator, kMinWatchLimitBytes);
+  return contents_bytes * kEncodingNumerator / kEncodingDenominator + kWatchAllowanceBytes;
 }
 
 void StoreWatcher::AbandonReplacedCall(Instant now) {
