Refuse requests that come long after a stop was requested

Requests that come over 2.3 s after the signal are now answered 503 with Retry-After at once; those before it have 3.2 s left, and the daemon ends when they have. The new test failed before: eight requests that an endpoint had run got no answer.

--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -90,6 +90,10 @@
   Dispatch(now);
 }
 
+void RequestRelay::RefuseWhileStopping(Instant now) {
+  AnswerFailure("daemon stops", kRetryAfterDeclined, now);
+}
+
 void RequestRelay::Dispatch(Instant now) {
   if (TimeLeft(now) <= kAnswerTransitTime) {
     AnswerFailure("no time left", kRetryAfterDeclined, now);
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -40,6 +40,8 @@
 
   // Finds the route and dispatches the request, or answers it with an error.
   void Start(Instant now);
+  // Refuses the request instead, as the daemon stops before it could be served.
+  void RefuseWhileStopping(Instant now);
   // Dispatches again if the request waits for an owner or a retry, and ends it at its
   // deadline.
   void Tick(Instant now);
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr std::chrono::milliseconds kKeyTickInterval{40};
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{100};
-// Callers may still open new connections for this long after a stop is requested.
-constexpr std::chrono::milliseconds kNewConnectionGrace{2300};
+// Requests are still served if they come within this time after a stop is requested; by then
+// callers know that the daemon is not ready.
+constexpr std::chrono::milliseconds kNewRequestGrace{2300};
 constexpr std::chrono::milliseconds kStopMargin{500};
 
 // Answers a readiness or metrics request with plain text.
@@ -225,7 +226,12 @@
 void RoutingDaemon::StartRequest(std::shared_ptr<CallerExchange> exchange) {
   const Instant now = BootNow();
   auto relay = std::make_shared<RequestRelay>(relay_context_, std::move(exchange), routes_, now);
-  relay->Start(now);
+  const bool too_late = stop_requested_at_ && now - *stop_requested_at_ >= kNewRequestGrace;
+  if (too_late) {
+    relay->RefuseWhileStopping(now);
+  } else {
+    relay->Start(now);
+  }
   if (!relay->finished()) {
     active_relays_.push_back(std::move(relay));
   }
@@ -284,7 +290,7 @@
 
 void RoutingDaemon::ContinueStop(Instant now) {
   const Duration elapsed = now - *stop_requested_at_;
-  if (elapsed < kNewConnectionGrace) {
+  if (elapsed < kNewRequestGrace) {
     return;
   }
   caller_listener_->CloseConnectionsWhenIdle();
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -8,6 +9,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "router/router_deployment.h"
 
@@ -300,6 +302,42 @@
   }
 }
 
+TEST_CASE("a stopping daemon cuts no request although callers keep sending") {
+  RouterDeployment deployment{1, 1, 2};
+  REQUIRE(deployment.WaitUntilServed());
+  for (const auto& endpoint : deployment.pumps) {
+    endpoint->SetServiceTime(std::chrono::milliseconds{700});
+  }
+  constexpr int kCallers = 8;
+  constexpr std::chrono::seconds kStopBound{7};
+  std::atomic<bool> stopped{false};
+  std::vector<std::future<std::vector<std::string>>> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    // Returns the requests without an answer.
+    callers.push_back(std::async(std::launch::async, [&deployment, &stopped, caller] {
+      std::vector<std::string> unanswered;
+      for (int number = 0; !stopped; ++number) {
+        const std::string id = std::to_string(caller) + "-" + std::to_string(number);
+        if (deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST", .id = id}).status ==
+            0) {
+          unanswered.push_back(id);
+        }
+      }
+      return unanswered;
+    }));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{300});
+  deployment.SendSignal(0, SIGTERM);
+  CHECK(deployment.WaitForExit(0, kStopBound.count()) == 0);
+  stopped = true;
+  for (auto& caller : callers) {
+    for (const std::string& id : caller.get()) {
+      CAPTURE(id);
+      CHECK(CountExecutions(deployment, id) == 0);
+    }
+  }
+}
+
 TEST_CASE("after all daemons are killed the recorded owners serve their keys again") {
   RouterDeployment deployment{2, 3, 1};
   REQUIRE(deployment.WaitUntilServed());
