Keep what is newer than a read

Found in reading: an update may bring an item that was written while the watching daemon read its pages, so that it is newer than the revision of the update. An own read of an earlier time would have brought the older version of the item back, or removed it. The new test failed before.

Logs of process tests are kept on request, as those of the router tests are.

--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -160,12 +160,13 @@
   for (const StoreItem& item : contents.items) {
     listed.insert(item.key);
     const auto known = items_.find(item.key);
-    if (known == items_.end() || known->second.revision != item.revision) {
+    if (known == items_.end() || known->second.revision < item.revision) {
       events.push_back({item, false});
     }
   }
   for (const auto& [key, item] : items_) {
-    if (!listed.contains(key)) {
+    // A later item was written after the read.
+    if (!listed.contains(key) && item.revision <= contents.revision) {
       events.push_back({{key, "", contents.revision}, true});
     }
   }
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -144,8 +144,11 @@
       waitpid(process.id, nullptr, 0);
     }
   }
-  std::error_code ignored;
-  std::filesystem::remove_all(directory_, ignored);
+  // Logs of a run are kept on request.
+  if (std::getenv("SYCAMORESTALL_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(directory_, ignored);
+  }
 }
 
 void Deployment::SpawnProcess(const std::string& name, const std::vector<std::string>& arguments) {
--- a/tests/store/store_update_log_test.cc
+++ b/tests/store/store_update_log_test.cc
@@ -219,3 +219,18 @@
   CHECK_FALSE(domain.following.store.watching());
   CHECK(domain.FollowerCalls() == 1);
 }
+
+TEST_CASE("a read does not bring back what is older than an update") {
+  Domain domain;
+  domain.SendUpdates();
+  domain.watching.store.AnswerWatch({}, StoreError::kHistoryGone);
+  domain.watching.watcher.Tick(g_now);
+  // Both keys were written while the pages were read.
+  domain.watching.store.AnswerRead({{MakeItem("a", 25), MakeItem("c", 26)}, {20}});
+  domain.SendUpdates();
+  g_now += milliseconds{5000};
+  domain.following.watcher.Tick(g_now);
+  REQUIRE(domain.following.store.reading());
+  domain.following.store.AnswerRead({{MakeItem("a", 21)}, {22}});
+  CHECK(domain.following.items == std::map<std::string, std::string>{{"a", "a@25"}, {"c", "c@26"}});
+}
