Reject a datagram that ends where its latest fields begin

The fields are read like all others; datagrams of earlier unreleased versions are dropped, and such daemons find each other's changes through the store.

--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -45,14 +45,15 @@
 void serialize(Archive& archive, DaemonMessage& message) {
   archive(message.sender, message.domain, message.stopping, message.store_unreachable,
           message.loads, message.demands, message.announcements, message.not_owner_reports,
-          message.leadership_hand_overs, message.store_updates);
+          message.leadership_hand_overs, message.store_updates, message.store_revision,
+          message.knows_recent_changes);
 }
 
 std::string EncodeMessage(const DaemonMessage& message) {
   std::ostringstream out;
   {
     cereal::BinaryOutputArchive archive{out};
-    archive(message, message.store_revision, message.knows_recent_changes);
+    archive(message);
   }
   return out.str();
 }
@@ -63,10 +64,6 @@
     cereal::BinaryInputArchive archive{in};
     DaemonMessage message;
     archive(message);
-    // Earlier versions do not send these.
-    if (in.peek() != std::istringstream::traits_type::eof()) {
-      archive(message.store_revision, message.knows_recent_changes);
-    }
     return message;
   } catch (const std::exception&) {
     // Not a message of this version; the transport drops the datagram.
