--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -147,7 +147,7 @@
   std::map<std::uint64_t, PendingExplain> pending_explains_;
   std::uint64_t next_explain_number_ = 1;
   std::set<DomainName> partitioned_domains_;
-  // Generation of the membership for which the watching daemon was chosen.
+  // The membership generation to which the current store watcher belongs.
   std::uint64_t watcher_generation_ = 0;
   Instant next_instances_read_;
   Instant last_metrics_update_;
