--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -18,8 +18,8 @@
 // A daemon that watches the store updates the others of its domain at least this often.
 constexpr std::chrono::milliseconds kStoreUpdateInterval{400};
 constexpr std::chrono::milliseconds kUnregisteredPeerTimeToLive{10000};
-// Daemons that are not heard get the changes of this time again and again: their messages may be
-// lost on a full link while others still arrive there.
+// Daemons that are not heard get the changes of this period with each update. Their gossip may be
+// lost on a congested outgoing link while updates still reach them.
 constexpr std::chrono::milliseconds kUnconfirmedUpdateTime{5000};
 // A daemon reports the store as unreachable after this time; it then cannot lead.
 constexpr std::chrono::milliseconds kStoreUnreachableDelay{600};
--- a/src/store/store_update_log.cc
+++ b/src/store/store_update_log.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// A receiver that is further behind reads the contents, which is hardly more.
+// Receivers that are further behind read all contents from the store.
 constexpr std::chrono::seconds kRetention{15};
 
 }  // namespace
--- a/src/store/store_update_log.h
+++ b/src/store/store_update_log.h
@@ -23,7 +23,7 @@
   // Discards events that were added too long ago.
   void DiscardOld(Instant now);
 
-  // The revision after which the events were added since the given time.
+  // The latest revision among the events added before the given time.
   Revision RevisionBefore(Instant time) const;
   // Returns the updates that bring a receiver from one revision to another; always at least one.
   // `values` has the versions of large values at the receiver's revision.
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -15,7 +15,8 @@
 // The store answers a watch after this time even if nothing changed, so that a dead
 // connection is detected soon.
 constexpr std::chrono::milliseconds kWatchWait{800};
-// A call that takes longer than this fills a congested link.
+// A call that updates have made unnecessary is abandoned after this time, as it occupies a
+// congested link.
 constexpr std::chrono::milliseconds kAbandonDelay{1000};
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
@@ -27,11 +28,12 @@
 constexpr std::chrono::milliseconds kMaxUpdateSilence{900};
 constexpr std::chrono::milliseconds kMaxAnswerAge{1650};
 
-// Answers to a watch may be larger than all contents by this: a second call takes as long.
+// A watch may return this much more than all contents. Giving it up for a read costs a second
+// round trip, in which a slow link carries about as much.
 constexpr std::size_t kWatchAllowanceBytes = std::size_t{128} * 1024;
 // Approximate size of an item in an answer without its key and value.
 constexpr std::size_t kItemOverheadBytes = 100;
-// Growth of values by base64.
+// Base64 encodes three bytes as four.
 constexpr std::size_t kEncodingNumerator = 4;
 constexpr std::size_t kEncodingDenominator = 3;
 
@@ -124,7 +126,7 @@
   reload_needed_ = false;
   RecordSuccess(call_sent_at_, std::chrono::milliseconds{0});
   if (contents.revision < revision_) {
-    // Updates that are more recent came meanwhile.
+    // More recent updates arrived while the read was running.
     return;
   }
   ApplyEvents(EventsLeadingTo(contents), contents.revision,
@@ -147,7 +149,7 @@
   RecordSuccess(clock_() - changes.transfer.time,
                 changes.events.empty() ? std::chrono::milliseconds{0} : kBatchDelay);
   std::vector<StoreEvent> events;
-  // An update may have brought them earlier.
+  // Relayed updates may have delivered some of them already.
   std::copy_if(changes.events.begin(), changes.events.end(), std::back_inserter(events),
                [this](const StoreEvent& each) { return IsNew(each.item.key, each.item.revision); });
   ApplyEvents(events, changes.revision,
@@ -165,7 +167,7 @@
     }
   }
   for (const auto& [key, item] : items_) {
-    // A later item was written after the read.
+    // An item with a later revision may have been written after the read.
     if (!listed.contains(key) && item.revision <= contents.revision) {
       events.push_back({{key, "", contents.revision}, true});
     }
@@ -217,7 +219,7 @@
     }
     events.push_back(std::move(*event));
   }
-  // The update leads here from the known revision, however long ago that was.
+  // The update covers every change since the known revision, so no reload is needed.
   reload_needed_ = false;
   last_arrival_at_ = now;
   last_answer_at_ =
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -16,8 +16,8 @@
 // Where a part of the store's state came from.
 struct StoreStateOrigin {
   StoreStateSource source = StoreStateSource::kRead;
-  // Time since this daemon asked the store for it or, if it was relayed, since the store last
-  // answered the sender by the sender's account.
+  // Own calls: time since the call was sent. Relayed updates: time since the store answered the
+  // sender, as the sender reports it.
   Duration age{};
   StoreTransfer transfer;
 
@@ -42,7 +42,7 @@
  public:
   virtual ~StoreObserver() = default;
 
-  // Applies events. Those of one key come oldest first, and not all of them need to come.
+  // Applies events. Events of one key come in order; intermediate ones may be missing.
   virtual void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) = 0;
   // A read or watch has finished.
   virtual void HandleStoreCall(const StoreCallRecord& call) = 0;
@@ -105,11 +105,13 @@
   // Passes new events to the observer.
   void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                    const StoreStateOrigin& origin);
+  // Abandons a slow call whose result relayed updates have already delivered.
   void AbandonReplacedCall(Instant now);
   // Why the store is called, for the log.
   const char* CallReason(Instant now) const;
   // The size beyond which an answer to a watch takes longer than a read of everything.
   std::size_t MaxWatchBytes() const;
+  // Reports a finished call to the observer.
   void ReportCall(StoreStateSource call, std::error_code error, Revision to,
                   const StoreTransfer& transfer);
   // `answered_at` is when the store gave the answer.
--- a/src/store/value_history.cc
+++ b/src/store/value_history.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-// The whole of a smaller value takes few bytes.
+// Smaller values are sent whole.
 constexpr std::size_t kMinValueBytes = 1024;
-// Longer than it takes a daemon to confirm the version that replaced one.
+// Until then all receivers have confirmed a later version, or read the contents.
 constexpr std::chrono::seconds kRetention{15};
 
 }  // namespace
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -309,6 +309,7 @@
     endpoint->SetServiceTime(std::chrono::milliseconds{700});
   }
   constexpr int kCallers = 8;
+  // The stop timeout of 6 s, with a margin.
   constexpr std::chrono::seconds kStopBound{7};
   std::atomic<bool> stopped{false};
   std::vector<std::future<std::vector<std::string>>> callers;
