Choose the watcher of a domain by gossip alone

After an outage of the store in which leases lapsed, each daemon was without registration and so watched, and each relayed all that had changed to all others of its domain, over links of 10 Mbit/s.

Weights are in the gossip now, and a daemon without registration relies on another's updates like others.

--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -46,7 +46,7 @@
   archive(message.sender, message.domain, message.stopping, message.store_unreachable,
           message.loads, message.demands, message.announcements, message.not_owner_reports,
           message.leadership_hand_overs, message.store_updates, message.store_revision,
-          message.knows_recent_changes);
+          message.knows_recent_changes, message.weight);
 }
 
 std::string EncodeMessage(const DaemonMessage& message) {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -84,6 +84,8 @@
   Revision store_revision;
   // Whether the sender knows the store's changes of the last seconds.
   bool knows_recent_changes = false;
+  // The sender's capacity relative to other daemons.
+  double weight = 0;
 };
 
 // Serializes a message.
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -136,6 +136,7 @@
     // The revision up to which it knows the store.
     Revision store_revision;
     bool knows_recent_changes = false;
+    double weight = 0;
   };
   std::map<InstanceId, PeerState> peer_states_;
   // The last registered address of each daemon.
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -70,6 +70,7 @@
   message.store_unreachable = store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
   message.store_revision = store_watcher_.revision();
   message.knows_recent_changes = KnowsRecentChanges(now);
+  message.weight = settings_.weight;
   message.not_owner_reports = std::exchange(not_owner_reports_, {});
   if (now < next_gossip_at_ && message.not_owner_reports.empty()) {
     return;
@@ -130,22 +131,17 @@
 }
 
 bool RoutingDaemon::WatchesForDomain(Instant now) const {
-  const auto self = registry_.daemons().find(settings_.instance);
-  if (self == registry_.daemons().end()) {
-    return true;
-  }
   std::vector<StoreWatchCandidate> others;
   for (const auto& [id, peer] : peer_states_) {
-    const auto daemon = registry_.daemons().find(id);
     const bool eligible = peer.domain == settings_.domain &&
                           now - peer.heard_at < kPeerStateTimeToLive && !peer.stopping &&
-                          !peer.store_unreachable && daemon != registry_.daemons().end();
+                          !peer.store_unreachable && peer.store_revision.value != 0;
     if (eligible) {
-      others.push_back({id, peer.knows_recent_changes, daemon->second.weight});
+      others.push_back({id, peer.knows_recent_changes, peer.weight});
     }
   }
   return sycamorestall::IsStoreWatcher(
-      {settings_.instance, KnowsRecentChanges(now), self->second.weight}, others);
+      {settings_.instance, KnowsRecentChanges(now), settings_.weight}, others);
 }
 
 std::vector<DaemonMessage> RoutingDaemon::MakeStoreUpdates(Revision after, Instant now) const {
@@ -227,7 +223,8 @@
                                     message.store_unreachable,
                                     message.loads,
                                     message.store_revision,
-                                    message.knows_recent_changes};
+                                    message.knows_recent_changes,
+                                    message.weight};
   }
   for (const StoreUpdate& update : message.store_updates) {
     store_watcher_.ApplyUpdate(update, now);
