Do not send changes again that are still in transit

Each update carried all that its receiver had not confirmed, every 0.4 s and after each change: about twice for a daemon that is heard, and a dozen times for one that is not, over the link whose congestion kept the confirmation away. A receiver is now sent only what is new until a second has passed without confirmation. If it misses an update meanwhile, it waits 1.2 s for the repetition before it calls the store; an update says whether its base is confirmed.

--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -39,7 +39,7 @@
 }
 template <typename Archive>
 void serialize(Archive& archive, StoreUpdate& update) {
-  archive(update.base, update.revision, update.answered_ms_ago, update.events);
+  archive(update.base, update.revision, update.answered_ms_ago, update.base_assumed, update.events);
 }
 template <typename Archive>
 void serialize(Archive& archive, DaemonMessage& message) {
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -15,6 +15,7 @@
 #include "router/request_relay.h"
 #include "store/store_update_log.h"
 #include "store/store_watcher.h"
+#include "store/update_progress.h"
 
 namespace sycamorestall {
 
@@ -75,8 +76,10 @@
   bool LeadsAnyService() const;
   // Forwards store updates to the other daemons of the domain.
   void SendStoreUpdates(Instant now);
-  std::vector<DaemonMessage> MakeStoreUpdates(Revision after, Instant now) const;
-  // The other daemons of the domain, with the revision after which they need updates.
+  std::vector<DaemonMessage> MakeStoreUpdates(const UpdateProgress::Start& start,
+                                              Instant now) const;
+  // The other daemons of the domain, with the revision that each has confirmed. For one that is
+  // not heard, the revision of some seconds ago is taken for confirmed.
   std::map<InstanceId, Revision> Followers(Instant now) const;
   void HandleMessage(const DaemonMessage& message);
   void StartRequest(std::shared_ptr<CallerExchange> exchange);
@@ -108,6 +111,7 @@
   std::unique_ptr<Store> store_;
   StoreWatcher store_watcher_;
   StoreUpdateLog update_log_;
+  UpdateProgress update_progress_;
   bool watches_for_domain_ = true;
   Instant next_store_update_at_;
   DaemonRegistry registry_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -144,13 +144,15 @@
       {settings_.instance, KnowsRecentChanges(now), settings_.weight}, others);
 }
 
-std::vector<DaemonMessage> RoutingDaemon::MakeStoreUpdates(Revision after, Instant now) const {
+std::vector<DaemonMessage> RoutingDaemon::MakeStoreUpdates(const UpdateProgress::Start& start,
+                                                           Instant now) const {
   const auto answered_ago =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - store_watcher_.last_answer_at());
   std::vector<DaemonMessage> messages;
-  for (StoreUpdate& update : update_log_.UpdatesAfter(
-           after, store_watcher_.revision(), static_cast<std::uint32_t>(answered_ago.count()),
-           store_watcher_.values())) {
+  for (StoreUpdate& update :
+       update_log_.UpdatesAfter(start.after, store_watcher_.revision(), store_watcher_.values())) {
+    update.answered_ms_ago = static_cast<std::uint32_t>(answered_ago.count());
+    update.base_assumed = start.assumed;
     DaemonMessage message;
     message.sender = settings_.instance;
     message.store_updates.push_back(std::move(update));
@@ -165,11 +167,13 @@
     return;
   }
   next_store_update_at_ = now + kStoreUpdateInterval;
-  std::map<Revision, std::vector<DaemonMessage>> messages;
-  for (const auto& [id, revision] : Followers(now)) {
-    const auto [entry, is_new] = messages.try_emplace(revision);
+  std::map<UpdateProgress::Start, std::vector<DaemonMessage>> messages;
+  for (const auto& [id, confirmed] : Followers(now)) {
+    const UpdateProgress::Start start =
+        update_progress_.Advance(id, confirmed, store_watcher_.revision(), now);
+    const auto [entry, is_new] = messages.try_emplace(start);
     if (is_new) {
-      entry->second = MakeStoreUpdates(revision, now);
+      entry->second = MakeStoreUpdates(start, now);
     }
     for (const DaemonMessage& message : entry->second) {
       transport_.SendTo(id, message);
--- a/src/store/store_update.cc
+++ b/src/store/store_update.cc
@@ -69,9 +69,11 @@
 }
 
 std::vector<StoreUpdate> SplitIntoUpdates(const std::vector<RelayedEvent>& events, Revision base,
-                                          Revision revision, std::uint32_t answered_ms_ago) {
+                                          Revision revision) {
   std::vector<StoreUpdate> updates;
-  StoreUpdate current{base, base, answered_ms_ago, {}};
+  StoreUpdate current;
+  current.base = base;
+  current.revision = base;
   std::size_t size = 0;
   for (auto revision_begin = events.begin(); revision_begin != events.end();) {
     const Revision event_revision = revision_begin->revision;
@@ -84,8 +86,10 @@
     }
     const bool too_large = revision_size > kMaxRevisionBytes;
     if (!current.events.empty() && (too_large || size + revision_size > kMaxUpdateBytes)) {
-      updates.push_back(
-          std::exchange(current, {current.revision, current.revision, answered_ms_ago, {}}));
+      StoreUpdate next;
+      next.base = current.revision;
+      next.revision = current.revision;
+      updates.push_back(std::exchange(current, std::move(next)));
       size = 0;
     }
     const Revision reached = std::min(event_revision, revision);
--- a/src/store/store_update.h
+++ b/src/store/store_update.h
@@ -38,8 +38,11 @@
   // each key only the latest event may be there.
   Revision base;
   Revision revision;
-  // Time since the store last answered the sender.
+  // Time since the store last answered the sender, in milliseconds.
   std::uint32_t answered_ms_ago = 0;
+  // Whether the receiver has not confirmed `base` yet; if it misses updates before that, they are
+  // sent again.
+  bool base_assumed = false;
   std::vector<RelayedEvent> events;
 
   friend bool operator==(const StoreUpdate&, const StoreUpdate&) = default;
@@ -50,6 +53,6 @@
 // take a part of them for the whole revision. Revisions too large for a datagram are left out,
 // which leaves a gap that receivers detect. Events after the revision are in the last update.
 std::vector<StoreUpdate> SplitIntoUpdates(const std::vector<RelayedEvent>& events, Revision base,
-                                          Revision revision, std::uint32_t answered_ms_ago);
+                                          Revision revision);
 
 }  // namespace sycamorestall
--- a/src/store/store_update_log.cc
+++ b/src/store/store_update_log.cc
@@ -61,14 +61,13 @@
 }
 
 std::vector<StoreUpdate> StoreUpdateLog::UpdatesAfter(Revision after, Revision revision,
-                                                      std::uint32_t answered_ms_ago,
                                                       const ValueHistory& values) const {
   const Revision base = after < complete_after_ ? complete_after_ : std::min(after, revision);
   std::vector<RelayedEvent> events;
   for (const StoreEvent& each : LatestEventsAfter(after)) {
     events.push_back(CompressEvent(each, values.CurrentAt(each.item.key, after)));
   }
-  return SplitIntoUpdates(events, base, revision, answered_ms_ago);
+  return SplitIntoUpdates(events, base, revision);
 }
 
 }  // namespace sycamorestall
--- a/src/store/store_update_log.h
+++ b/src/store/store_update_log.h
@@ -30,7 +30,6 @@
   // Only the latest event of each key is in them. A base later than the receiver's revision tells
   // it that earlier events are missing: they were discarded, or are too large for a datagram.
   std::vector<StoreUpdate> UpdatesAfter(Revision after, Revision revision,
-                                        std::uint32_t answered_ms_ago,
                                         const ValueHistory& values) const;
 
  private:
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -27,6 +27,8 @@
 // effect within 2 s of its write.
 constexpr std::chrono::milliseconds kMaxUpdateSilence{900};
 constexpr std::chrono::milliseconds kMaxAnswerAge{1650};
+// Missing updates that will be sent again are waited for this long.
+constexpr std::chrono::milliseconds kResendWait{1200};
 
 // A watch may return this much more than all contents. Giving it up for a read costs a second
 // round trip, in which a slow link carries about as much.
@@ -53,7 +55,8 @@
 
 bool StoreWatcher::HasFreshUpdates(Instant now) const {
   return !watching_ && now - last_update_at_ < kMaxUpdateSilence &&
-         now - last_answer_at_ < kMaxAnswerAge && missing_until_ <= revision_;
+         now - last_answer_at_ < kMaxAnswerAge &&
+         (missing_until_ <= revision_ || now < missing_updates_expected_until_);
 }
 
 const char* StoreWatcher::CallReason(Instant now) const {
@@ -197,13 +200,23 @@
   return revision > revision_ && (known == items_.end() || revision > known->second.revision);
 }
 
+void StoreWatcher::RecordGap(const StoreUpdate& update, Instant now) {
+  const bool is_new_gap = missing_until_ <= revision_;
+  missing_until_ = std::max(missing_until_, update.revision);
+  if (!update.base_assumed) {
+    missing_updates_expected_until_ = now;
+  } else if (is_new_gap) {
+    missing_updates_expected_until_ = now + kResendWait;
+  }
+}
+
 void StoreWatcher::ApplyUpdate(const StoreUpdate& update, Instant now) {
   if (!loaded()) {
     return;
   }
   last_update_at_ = now;
   if (update.base > revision_) {
-    missing_until_ = std::max(missing_until_, update.revision);
+    RecordGap(update, now);
     return;
   }
   std::vector<StoreEvent> events;
@@ -215,6 +228,7 @@
     if (!event) {
       // The value cannot be decompressed, so the next tick fetches the event from the store.
       missing_until_ = std::max(missing_until_, update.revision);
+      missing_updates_expected_until_ = now;
       return;
     }
     events.push_back(std::move(*event));
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -102,6 +102,8 @@
   std::vector<StoreEvent> EventsLeadingTo(const Store::Contents& contents) const;
   // Whether an event of the key at the revision is not known yet.
   bool IsNew(const std::string& key, Revision revision) const;
+  // Notes that events up to the revision of the update are missing.
+  void RecordGap(const StoreUpdate& update, Instant now);
   // Passes new events to the observer.
   void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                    const StoreStateOrigin& origin);
@@ -147,8 +149,10 @@
   };
   std::map<std::string, KnownItem> items_;
   ValueHistory values_;
-  // Relayed events up to this revision may be missing here.
+  // Relayed events up to this revision may be missing here. They are waited for until the given
+  // time if they will be sent again.
   Revision missing_until_;
+  Instant missing_updates_expected_until_;
 };
 
 }  // namespace sycamorestall
--- /dev/null
+++ b/src/store/update_progress.cc
@@ -0,0 +1,27 @@
+#include "store/update_progress.h"
+
+#include <algorithm>
+
+namespace sycamorestall {
+
+namespace {
+
+// Longer than the interval of gossip, which carries the confirmations.
+constexpr std::chrono::milliseconds kResendDelay{1000};
+
+}  // namespace
+
+UpdateProgress::Start UpdateProgress::Advance(const InstanceId& receiver, Revision confirmed,
+                                              Revision until, Instant now) {
+  Sent& sent = sent_[receiver];
+  const bool in_transit = sent.until > confirmed && now - sent.all_sent_at < kResendDelay;
+  if (in_transit) {
+    const Start start{sent.until, true};
+    sent.until = std::max(sent.until, until);
+    return start;
+  }
+  sent = {std::max(confirmed, until), now};
+  return {confirmed, false};
+}
+
+}  // namespace sycamorestall
--- a/tests/store/store_update_log_test.cc
+++ b/tests/store/store_update_log_test.cc
@@ -42,7 +42,7 @@
   void HandleReachability(bool /*reachable*/, const std::string& /*reason*/) override {}
 
   std::vector<StoreUpdate> UpdatesFor(const Daemon& receiver) const {
-    return log.UpdatesAfter(receiver.watcher.revision(), watcher.revision(), 0, watcher.values());
+    return log.UpdatesAfter(receiver.watcher.revision(), watcher.revision(), watcher.values());
   }
 
   ScriptedStore store;
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -53,7 +53,9 @@
 // Builds an update as another daemon would send it.
 StoreUpdate MakeUpdate(std::uint64_t base, std::uint64_t revision,
                        const std::vector<StoreEvent>& events) {
-  StoreUpdate update{{base}, {revision}, 0, {}};
+  StoreUpdate update;
+  update.base = {base};
+  update.revision = {revision};
   for (const StoreEvent& each : events) {
     update.events.push_back(CompressEvent(each, nullptr));
   }
@@ -78,7 +80,9 @@
     while (g_now < end) {
       if (update_interval.count() > 0 && g_now >= next_update) {
         next_update += update_interval;
-        watcher.ApplyUpdate({watcher.revision(), watcher.revision(), answered_ms_ago, {}}, g_now);
+        StoreUpdate update = MakeUpdate(watcher.revision().value, watcher.revision().value, {});
+        update.answered_ms_ago = answered_ms_ago;
+        watcher.ApplyUpdate(update, g_now);
       }
       watcher.Tick(g_now);
       g_now += milliseconds{20};
@@ -226,7 +230,7 @@
     for (const StoreEvent& each : row.events) {
       events.push_back(CompressEvent(each, nullptr));
     }
-    const std::vector<StoreUpdate> updates = SplitIntoUpdates(events, {5}, {9}, 0);
+    const std::vector<StoreUpdate> updates = SplitIntoUpdates(events, {5}, {9});
     REQUIRE(updates.size() == row.expected_updates.size());
     for (std::size_t i = 0; i < updates.size(); ++i) {
       CHECK(updates[i].base.value == row.expected_updates[i].base);
@@ -280,3 +284,28 @@
     CHECK(receiver.store.watching());
   }
 }
+
+TEST_CASE("a gap is waited for if it will be sent again, and not for long") {
+  struct Row {
+    std::string name;
+    bool sent_again;
+    milliseconds waited;
+    bool calls_store;
+  };
+  const Row rows[] = {{"not sent again", false, milliseconds{40}, true},
+                      {"sent again", true, milliseconds{1000}, false},
+                      {"sent again, but late", true, milliseconds{1400}, true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    UpdateReceiver receiver;
+    const Instant end = g_now + row.waited;
+    while (g_now < end) {
+      StoreUpdate update = MakeUpdate(14, 15, {MakeEvent(15, "e")});
+      update.base_assumed = row.sent_again;
+      receiver.watcher.ApplyUpdate(update, g_now);
+      receiver.watcher.Tick(g_now);
+      g_now += milliseconds{20};
+    }
+    CHECK(receiver.store.watching() == row.calls_store);
+  }
+}
