--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -6,6 +6,9 @@
 #include <cereal/types/vector.hpp>
 #include <exception>
 #include <sstream>
+#include <utility>
+
+#include "store/value_compression.h"
 
 namespace sycamorestall {
 
@@ -49,22 +52,73 @@
           message.knows_recent_changes, message.weight);
 }
 
-std::string EncodeMessage(const DaemonMessage& message) {
+namespace {
+
+// Smaller messages are sent as they are.
+constexpr std::size_t kMinCompressedBytes = 512;
+// No message is larger before it is compressed.
+constexpr std::uint32_t kMaxMessageBytes = 4U * 1024 * 1024;
+
+// A datagram: a serialized message, which may be compressed.
+struct Datagram {
+  // Size of the message once decompressed; 0 if it is not compressed.
+  std::uint32_t uncompressed_bytes = 0;
+  std::string bytes;
+
+  // Serialization by cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(uncompressed_bytes, bytes);
+  }
+};
+
+template <typename Value>
+std::string Serialize(const Value& value) {
   std::ostringstream out;
   {
     cereal::BinaryOutputArchive archive{out};
-    archive(message);
+    archive(value);
   }
   return out.str();
 }
 
-std::optional<DaemonMessage> DecodeMessage(const std::string& bytes) {
+// Throws an exception if the bytes are not a serialized value.
+template <typename Value>
+Value Deserialize(const std::string& bytes) {
   std::istringstream in{bytes};
+  cereal::BinaryInputArchive archive{in};
+  Value value;
+  archive(value);
+  return value;
+}
+
+}  // namespace
+
+std::string EncodeMessage(const DaemonMessage& message) {
+  Datagram datagram{0, Serialize(message)};
+  if (datagram.bytes.size() >= kMinCompressedBytes) {
+    if (auto compressed = CompressValue(datagram.bytes, "")) {
+      datagram.uncompressed_bytes = static_cast<std::uint32_t>(datagram.bytes.size());
+      datagram.bytes = std::move(*compressed);
+    }
+  }
+  return Serialize(datagram);
+}
+
+std::optional<DaemonMessage> DecodeMessage(const std::string& bytes) {
   try {
-    cereal::BinaryInputArchive archive{in};
-    DaemonMessage message;
-    archive(message);
-    return message;
+    auto datagram = Deserialize<Datagram>(bytes);
+    if (datagram.uncompressed_bytes > kMaxMessageBytes) {
+      return std::nullopt;
+    }
+    if (datagram.uncompressed_bytes > 0) {
+      auto message = DecompressValue(datagram.bytes, datagram.uncompressed_bytes, "");
+      if (!message) {
+        return std::nullopt;
+      }
+      datagram.bytes = std::move(*message);
+    }
+    return Deserialize<DaemonMessage>(datagram.bytes);
   } catch (const std::exception&) {
     // Not a message of this version; the transport drops the datagram.
     return std::nullopt;
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -113,18 +113,30 @@
 }
 
 TEST_CASE("truncated datagrams are rejected") {
-  DaemonMessage message;
-  message.sender = InstanceId{"d1"};
-  message.loads = {{InstanceId{"e1"}, 3}};
-  message.demands = {{ServiceName{"soil"}, {{17, 2}, {18, 1}}}};
-  message.announcements = {{ServiceName{"soil"}, {2}, 5, 4, 0, 1, {{{0, 9}, InstanceId{"e1"}}}}};
-  const std::string bytes = EncodeMessage(message);
-  const auto decoded = DecodeMessage(bytes);
-  REQUIRE(decoded.has_value());
-  CHECK(decoded->demands.front().counts == message.demands.front().counts);
-  CHECK(decoded->announcements.front().ranges == message.announcements.front().ranges);
-  for (std::size_t size = 0; size < bytes.size(); ++size) {
-    CHECK_FALSE(DecodeMessage(bytes.substr(0, size)).has_value());
+  struct Row {
+    std::string name;
+    std::size_t loads;
+  };
+  // The longer message is compressed.
+  const Row rows[] = {{"short", 1}, {"long", 300}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    DaemonMessage message;
+    message.sender = InstanceId{"d1"};
+    for (std::size_t i = 0; i < row.loads; ++i) {
+      message.loads.push_back({InstanceId{"e" + std::to_string(i)}, 3});
+    }
+    message.demands = {{ServiceName{"soil"}, {{17, 2}, {18, 1}}}};
+    message.announcements = {{ServiceName{"soil"}, {2}, 5, 4, 0, 1, {{{0, 9}, InstanceId{"e1"}}}}};
+    const std::string bytes = EncodeMessage(message);
+    const auto decoded = DecodeMessage(bytes);
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->demands.front().counts == message.demands.front().counts);
+    CHECK(decoded->announcements.front().ranges == message.announcements.front().ranges);
+    CHECK(decoded->loads.size() == row.loads);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      CHECK_FALSE(DecodeMessage(bytes.substr(0, size)).has_value());
+    }
   }
 }
 
