Reset the connection of every call that fails

What callers could see: a request or an order that had failed for this daemon was delivered to its endpoint later. After a failure other than a timeout (bytes that are no HTTP, an answer cut short, a connection closed without an answer) the socket was closed in the ordinary way, and the system went on delivering what had not been sent yet, across a cut link for seconds. A grant that arrives so extends a hold that the leader counts as failed.

Every failure now sets the socket to reset on close, as timeouts and too long answers did already.

Test: "what a failed call has not delivered yet is not delivered later", 4 ends of a call whose 8 MB are not read. Before, 3 of 4 failed: CHECK( asio.misc:2 == 104 ), the server read the rest up to an ordinary end.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -198,8 +198,6 @@
     buffer_.consume(parsed_bytes);
     parser_->eager(parser_->is_header_done());
     if (error == http::error::body_limit || IsAnswerTooLarge()) {
-      // A reset stops the peer from sending the rest.
-      ResetOnClose(socket_);
       FailCall(CallOutcome::kTooLarge, "answer too large");
       return;
     }
@@ -260,7 +258,6 @@
   const bool calling = phase_ == Phase::kCalling || phase_ == Phase::kConnecting;
   if (calling && call_.deadline && now > *call_.deadline) {
     const bool connected = phase_ == Phase::kCalling;
-    ResetOnClose(socket_);
     FailCall(connected ? CallOutcome::kTimedOut : CallOutcome::kConnectTimedOut,
              "no answer in time");
   }
@@ -274,6 +271,8 @@
 }
 
 void HttpConnection::FailCall(CallOutcome outcome, std::string reason) {
+  // A reset keeps the system from delivering the rest of the request later.
+  ResetOnClose(socket_);
   Close();
   CallResult result;
   result.outcome = outcome;
--- a/tests/net/http_connection_test.cc
+++ b/tests/net/http_connection_test.cc
@@ -1,10 +1,14 @@
 #include <doctest/doctest.h>
 #include <sys/resource.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "clock/system_clock.h"
 #include "fakes/scripted_server.h"
@@ -53,6 +57,46 @@
   ConnectionPool pool_{context_};
 };
 
+// A server that reads nothing of a request until its client has given up.
+class UnreadingServer {
+ public:
+  UnreadingServer(std::string answer, bool closes)
+      : thread_([this, answer = std::move(answer), closes] {
+          acceptor_.accept(socket_);
+          boost::system::error_code ignored;  // The client may already have given up.
+          boost::asio::write(socket_, boost::asio::buffer(answer), ignored);
+          if (closes) {
+            socket_.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+          }
+        }) {}
+  ~UnreadingServer() {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  UnreadingServer(const UnreadingServer&) = delete;
+  UnreadingServer& operator=(const UnreadingServer&) = delete;
+
+  NetworkAddress address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+  // Reads all that was sent, and returns how the connection ended.
+  boost::system::error_code ReadUntilEnd() {
+    thread_.join();
+    boost::system::error_code error;
+    std::array<char, 4096> bytes{};
+    while (!error) {
+      socket_.read_some(boost::asio::buffer(bytes), error);
+    }
+    return error;
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_{context_,
+                                           {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  boost::asio::ip::tcp::socket socket_{context_};
+  std::thread thread_;
+};
+
 // The largest memory use of this process so far.
 std::size_t PeakMemoryBytes() {
   rusage usage{};
@@ -143,6 +187,30 @@
   }
 }
 
+TEST_CASE("what a failed call has not delivered yet is not delivered later") {
+  struct Row {
+    const char* name;
+    std::string answer;
+    bool closes;
+    CallOutcome outcome;
+  };
+  const Row rows[] = {
+      {"no answer", "", false, CallOutcome::kTimedOut},
+      {"no HTTP", "nonsense\r\n\r\n", false, CallOutcome::kBroken},
+      {"answer cut short", "HTTP/1.1 200 OK\r\n", true, CallOutcome::kBroken},
+      {"closed without an answer", "", true, CallOutcome::kBroken},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    UnreadingServer server{row.answer, row.closes};
+    Client client;
+    // More than the buffers of both ends hold.
+    const std::string body(std::size_t{8} << 20, 'x');
+    CHECK(client.Call(server.address(), "a", body).outcome == row.outcome);
+    CHECK(server.ReadUntilEnd() == boost::asio::error::connection_reset);
+  }
+}
+
 TEST_CASE("a refused connection is reported as not connected") {
   Client client;
   NetworkAddress unused_address;
