Close a caller's connection only behind its last answer

Callers that pipeline saw requests cut in a planned stop: the first answer after the signal closed the connection, although later requests of it were at work at endpoints. These were cancelled, and callers send them again, as what stands behind a closing answer counts as unread; a command might run twice. 35 requests per stop in a restart of all 34 daemons (1,194 "caller left" while their daemon stopped, 25 at all other times).

Cause: the decision to close looked at the answer that is written, not at the requests that had been handed on (class: a promise about the whole made by a part). A request that arrived while the closing answer was being written was handed on and abandoned as well.

Now the closing answer is the one to the last request that was read, and nothing is read behind it; until then requests of that connection are served as before. The same held for an answer that its handler wants to close the connection (own HTTP server).

Tests: "no request that was handed on is abandoned because an earlier answer closes" and "a request that arrives while a closing answer is written is not handed on". Before: "caller_connection_test.cc:203: CHECK_FALSE( abandoned() ) values: CHECK_FALSE( true )", "two pipelined", and "exchanges.size() == 1 values: CHECK( 2 == 1 )"; pass after.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -182,20 +182,23 @@
     return;
   }
   std::size_t count = 0;
-  bool close = false;
   std::vector<asio::const_buffer> buffers;
-  while (count < exchanges_.size() && exchanges_[count]->answered() && !close) {
-    CallerExchange& exchange = *exchanges_[count];
-    const bool is_last = input_done_ && count + 1 == exchanges_.size();
-    close = !exchange.keep_alive_ || is_last || close_after_answer_ ||
-            handler_.ShouldCloseConnections();
-    std::string& head = exchange.answer_->head;
-    head.append(close ? kCloseHeadEnd : kHeadEnd);
+  while (count < exchanges_.size() && exchanges_[count]->answered()) {
+    input_done_ = input_done_ || !exchanges_[count]->keep_alive_;
     ++count;
   }
   if (count == 0) {
     return;
   }
+  // Callers take requests behind a closing answer for unread and send them again, so it must be
+  // the last one.
+  const bool close = count == exchanges_.size() &&
+                     (input_done_ || close_after_answer_ || handler_.ShouldCloseConnections());
+  input_done_ = input_done_ || close;
+  for (std::size_t i = 0; i < count; ++i) {
+    const bool is_last = i + 1 == count;
+    exchanges_[i]->answer_->head.append(close && is_last ? kCloseHeadEnd : kHeadEnd);
+  }
   for (std::size_t i = 0; i < count; ++i) {
     const OutgoingMessage& message = *exchanges_[i]->answer_;
     buffers.emplace_back(message.head.data(), message.head.size());
@@ -234,13 +237,6 @@
 }
 
 void CallerConnection::Linger() {
-  for (const auto& exchange : exchanges_) {
-    exchange->abandoned_ = true;
-    if (exchange->on_abandoned_) {
-      std::exchange(exchange->on_abandoned_, nullptr)();
-    }
-  }
-  exchanges_.clear();
   phase_ = Phase::kLingering;
   beast::error_code ignored;  // The connection is closed in any case.
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -33,7 +33,8 @@
   // Sends the answer; must be called at most once. The head must contain neither the Connection
   // header nor the final empty line, which the connection adds.
   void Answer(OutgoingMessage message);
-  // Closes the connection after this answer; must be called before Answer().
+  // Reads no further requests and closes the connection after the last answer; must be called
+  // before Answer().
   void CloseAfterAnswer() { keep_alive_ = false; }
   // Sets a callback that runs once if the connection ends before Answer() is called.
   void OnAbandoned(std::function<void()> callback) { on_abandoned_ = std::move(callback); }
@@ -59,7 +60,7 @@
   virtual void HandleRequest(std::shared_ptr<CallerExchange> exchange) = 0;
   // Returns the limits for connections that start reading a request now.
   virtual CallerLimits Limits() const = 0;
-  // Whether connections close after their next answer.
+  // Whether connections close as soon as all requests that were read are answered.
   virtual bool ShouldCloseConnections() const = 0;
   // Returns the answer to a request that is malformed or exceeds a limit.
   virtual OutgoingMessage MakeMalformedAnswer(unsigned status, const std::string& reason) const;
@@ -75,7 +76,8 @@
   void Start(Instant now);
   // Closes the connection if it has been idle, or sending a request, for too long.
   void CheckTimeouts(Instant now);
-  // Closes the connection at once if it is idle, and after the next answer otherwise.
+  // Closes the connection at once if it is idle, and as soon as all requests that were read are
+  // answered otherwise.
   void CloseWhenIdle();
   // Closes the socket at once.
   void Close();
@@ -99,11 +101,12 @@
   void SendContinueIfExpected();
   void DispatchRequest();
   void RejectRequest(const boost::beast::error_code& error);
-  // Writes all answers that are next in order.
+  // Writes all answers that are next in order. Only the answer to the last request that was read
+  // closes the connection.
   void WriteAnswers();
   void FinishWrite(std::size_t count, bool close);
-  // Abandons open requests, then discards further input until the caller closes the connection or
-  // a timeout passes.
+  // Ends the output, then discards further input until the caller closes the connection or a
+  // timeout passes.
   void Linger();
   // Closes the socket and notifies the owners of open requests.
   void Abandon();
--- a/src/net/caller_listener.h
+++ b/src/net/caller_listener.h
@@ -19,7 +19,8 @@
 
   // Closes connections that have been idle, or sending a request, for too long.
   void CheckTimeouts(Instant now);
-  // Closes idle connections at once, and the others after their next answer.
+  // Closes idle connections at once, and the others as soon as all requests that were read are
+  // answered.
   void CloseConnectionsWhenIdle();
   // Stops accepting connections; existing ones stay open.
   void StopAccepting();
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -178,6 +178,49 @@
   CHECK(fixture.connection_ended);
 }
 
+TEST_CASE("no request that was handed on is abandoned because an earlier answer closes") {
+  const std::string request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct Row {
+    std::string name;
+    std::string sent_before;
+    std::string sent_after;
+    std::size_t handed_on;
+  };
+  const Row rows[] = {{"alone", request, "", 1},
+                      {"two pipelined", request + request, "", 2},
+                      {"one more while stopping", request + request, request, 3}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ConnectionFixture fixture;
+    fixture.Send(row.sent_before);
+    fixture.collector.closing = true;
+    fixture.listener().CloseConnectionsWhenIdle();
+    fixture.Send(row.sent_after);
+    REQUIRE(fixture.collector.exchanges.size() == row.handed_on);
+    for (std::size_t i = 0; i < row.handed_on; ++i) {
+      CAPTURE(i);
+      const bool is_last = i + 1 == row.handed_on;
+      CHECK_FALSE(fixture.collector.exchanges[i]->abandoned());
+      fixture.Answer(i, "answer " + std::to_string(i));
+      const std::string received = fixture.Received();
+      CHECK(PositionOf(received, "answer " + std::to_string(i)) != std::string::npos);
+      CHECK((PositionOf(received, "Connection: close") != std::string::npos) == is_last);
+      CHECK(fixture.connection_ended == is_last);
+    }
+  }
+}
+
+TEST_CASE("a request that arrives while a closing answer is written is not handed on") {
+  ConnectionFixture fixture;
+  fixture.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  fixture.collector.closing = true;
+  constexpr std::size_t kMoreThanSocketBuffers = std::size_t{32} * 1024 * 1024;
+  fixture.Answer(0, std::string(kMoreThanSocketBuffers, 'x'));
+  fixture.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(fixture.collector.exchanges.size() == 1);
+}
+
 TEST_CASE("idle connections are closed after their timeout, busy ones are not") {
   struct Row {
     std::string name;
