Treat an endpoint as draining once it says in an answer that it leaves

Callers saw requests go to an endpoint long after it had said that it leaves: the daemon read that only from the endpoint's entry in the store, which says ready while the store is unreachable, and is late behind a full link. Keys stayed with such an endpoint for the same time.

Class: what an answer says about its endpoint was thrown away with the answer.

The header is now read from each accepted answer, also from refusals, failures and replies to grants and releases (EndpointNotice). It holds for this start of the endpoint: a ready entry, an outage, or an entry that lapses and comes back does not end it. Answers to what was sent before a restart was known do not count for the new start. The other daemons, and so the leader of its keys, hear of it at once and with each message while the list says otherwise. What callers get is unchanged. Endpoints that only their entries name as draining may become ready again as before.

The simulation passes the time of a removal now, and the fake endpoint answers orders without a body.

--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -35,7 +35,7 @@
   double best_expected_s = 0;
   for (const auto& [id, state] : fleet.EndpointsOfService(request.service)) {
     const EndpointState& endpoint = *state;
-    if (endpoint.entry.draining || request.tried.contains(id)) {
+    if (endpoint.draining() || request.tried.contains(id)) {
       continue;
     }
     const double expected_latency_s = ExpectedLatencySeconds(endpoint, mean_s, request.now);
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -16,6 +16,32 @@
 // Endpoints must receive no requests 2 s after the store has recorded that they are
 // draining; up to 0.8 s of that pass before a daemon learns of it.
 constexpr std::chrono::milliseconds kDrainGrace{1000};
+// For how long after its removal from the list what an endpoint said is remembered. Its entry may
+// come back after an outage of the store.
+constexpr std::chrono::minutes kRemovedEndpointTimeToLive{10};
+
+// Whether both entries describe the same start of an endpoint.
+bool IsSameStart(const EndpointEntry& left, const EndpointEntry& right) {
+  return left.id == right.id && left.incarnation == right.incarnation &&
+         left.address == right.address;
+}
+
+// Begins or ends the draining of an endpoint after its entry or what it said has changed.
+void UpdateDrainingSince(EndpointState& state, Instant now) {
+  if (!state.draining()) {
+    state.draining_since.reset();
+  } else if (!state.draining_since) {
+    state.draining_since = now;
+  }
+}
+
+// Returns whether the announcement is new.
+bool AnnounceDraining(EndpointState& state, Instant now) {
+  const bool is_new = !state.announced_draining;
+  state.announced_draining = true;
+  UpdateDrainingSince(state, now);
+  return is_new;
+}
 
 }  // namespace
 
@@ -45,38 +71,70 @@
 void EndpointFleet::Put(const EndpointEntry& entry, Instant now) {
   EndpointState& state = endpoints_[entry.id];
   RemoveFromServiceIndex(state);
-  const bool is_new = state.entry.id.empty() || state.entry.incarnation != entry.incarnation ||
-                      state.entry.address != entry.address;
-  if (is_new) {
+  if (!IsSameStart(state.entry, entry)) {
     const std::size_t in_flight = state.in_flight;
-    state = {};
+    state = MakeState(entry, now);
     state.in_flight = in_flight;
-    state.listed_at = now;
   }
   state.entry = entry;
   state.warm_up_ends_at = now + entry.warm_up_left;
   AddToServiceIndex(state);
-  if (!entry.draining) {
-    state.draining_since.reset();
-  } else if (!state.draining_since) {
-    state.draining_since = now;
+  UpdateDrainingSince(state, now);
+}
+
+EndpointState EndpointFleet::MakeState(const EndpointEntry& entry, Instant now) {
+  EndpointState state;
+  state.listed_at = now;
+  const auto removed = removed_.find(entry.id);
+  if (removed != removed_.end() && IsSameStart(removed->second.state.entry, entry)) {
+    state.announced_draining = removed->second.state.announced_draining;
+    state.draining_since = removed->second.state.draining_since;
   }
+  removed_.erase(entry.id);
+  return state;
 }
 
-void EndpointFleet::Remove(const InstanceId& id) {
+void EndpointFleet::Remove(const InstanceId& id, Instant now) {
   const auto found = endpoints_.find(id);
   if (found == endpoints_.end()) {
     return;
   }
   RemoveFromServiceIndex(found->second);
+  std::erase_if(removed_, [now](const auto& each) {
+    return now - each.second.removed_at >= kRemovedEndpointTimeToLive;
+  });
+  removed_[id] = {found->second, now};
   endpoints_.erase(found);
 }
 
+bool EndpointFleet::HandleNotice(const InstanceId& id, const EndpointNotice& notice,
+                                 Instant sent_at, Instant now) {
+  EndpointState* state = FindKnown(id);
+  if (state == nullptr || sent_at < state->listed_at) {
+    return false;
+  }
+  return notice.draining && AnnounceDraining(*state, now);
+}
+
+bool EndpointFleet::HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now) {
+  EndpointState* state = FindKnown(id);
+  return state != nullptr && state->entry.incarnation == incarnation &&
+         AnnounceDraining(*state, now);
+}
+
 const EndpointState* EndpointFleet::Find(const InstanceId& id) const {
   const auto found = endpoints_.find(id);
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+EndpointState* EndpointFleet::FindKnown(const InstanceId& id) {
+  if (EndpointState* listed = FindMutable(id)) {
+    return listed;
+  }
+  const auto removed = removed_.find(id);
+  return removed == removed_.end() ? nullptr : &removed->second.state;
+}
+
 EndpointState* EndpointFleet::FindMutable(const InstanceId& id) {
   const auto found = endpoints_.find(id);
   return found == endpoints_.end() ? nullptr : &found->second;
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/endpoint_entry.h"
+#include "core/endpoint_notice.h"
 
 namespace sycamorestall {
 
@@ -30,6 +31,9 @@
   Instant listed_at;
   // When the slow phase after its start ends.
   Instant warm_up_ends_at;
+  // Whether it said in an answer to this or another daemon that it is being removed from service.
+  // That holds until it restarts, whatever its entry says.
+  bool announced_draining = false;
   // Empty while the endpoint is not draining.
   std::optional<Instant> draining_since;
   // Requests from this daemon that it runs or has queued.
@@ -48,6 +52,8 @@
 
   // Requests in flight at the endpoint from all daemons.
   std::size_t load() const { return in_flight + peers_in_flight; }
+  // Whether it is being removed from service, by its entry or by its answers.
+  bool draining() const { return entry.draining || announced_draining; }
   // Whether requests for keys that it owns may be sent to it. A draining endpoint
   // accepts them only for a short grace period while its keys move. The period ends
   // even if the keys have not moved, for example because their leader has not heard
@@ -62,10 +68,20 @@
 class EndpointFleet {
  public:
   // Adds an endpoint or replaces its entry. A new incarnation or address resets
-  // the measurements, but not the count of requests in flight.
+  // the measurements and what the endpoint said about itself, but not the count of requests in
+  // flight.
   void Put(const EndpointEntry& entry, Instant now);
   // Removes an endpoint that is no longer listed.
-  void Remove(const InstanceId& id);
+  void Remove(const InstanceId& id, Instant now);
+
+  // Handles the notice of an endpoint's answer to a request that was sent at the given time.
+  // Answers of an earlier incarnation are ignored. Returns whether the endpoint was not known to
+  // have announced that it is draining.
+  bool HandleNotice(const InstanceId& id, const EndpointNotice& notice, Instant sent_at,
+                    Instant now);
+  // Handles another daemon's report that this incarnation announced that it is draining. Returns
+  // whether that was not known.
+  bool HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now);
 
   // Returns null if the endpoint is not listed.
   const EndpointState* Find(const InstanceId& id) const;
@@ -98,12 +114,24 @@
     std::size_t measured = 0;
   };
 
+  // An endpoint that was listed, as it was then.
+  struct RemovedEndpoint {
+    EndpointState state;
+    Instant removed_at;
+  };
+
   EndpointState* FindMutable(const InstanceId& id);
+  // Like FindMutable, but also finds endpoints that were removed recently.
+  EndpointState* FindKnown(const InstanceId& id);
+  // The initial state of an incarnation. If it was listed before, what it said then still holds.
+  EndpointState MakeState(const EndpointEntry& entry, Instant now);
   void AddToServiceIndex(const EndpointState& state);
   void RemoveFromServiceIndex(const EndpointState& state);
   void SetMeanServiceTime(EndpointState& state, double seconds);
 
   std::map<InstanceId, EndpointState> endpoints_;
+  // Kept because entries of live endpoints may lapse and come back.
+  std::map<InstanceId, RemovedEndpoint> removed_;
   std::map<ServiceName, ServiceIndex> services_;
 };
 
--- a/src/core/key_leader_orders.cc
+++ b/src/core/key_leader_orders.cc
@@ -44,7 +44,7 @@
     HandleOwnerRestart(state, owner->entry);
     return;
   }
-  const bool owner_is_draining = owner != nullptr && owner->entry.draining;
+  const bool owner_is_draining = owner != nullptr && owner->draining();
   const bool owner_is_missing = owner == nullptr && list_is_reliable;
   if (owner_is_missing && OwnerAddressIsReused(state, fleet)) {
     LogDecision("owner replaced range=" + ToString(state.owned.range) +
@@ -88,7 +88,7 @@
 
 void KeyLeader::AdvanceExpiringRange(RangeState& state, const EndpointFleet& fleet, Instant now) {
   const EndpointState* owner = fleet.Find(state.owned.owner);
-  const bool is_back = owner != nullptr && !owner->entry.draining &&
+  const bool is_back = owner != nullptr && !owner->draining() &&
                        owner->entry.incarnation == state.owned.incarnation && !state.target;
   if (is_back) {
     LogDecision("owner available again range=" + ToString(state.owned.range) +
--- a/src/core/key_leader_placement.cc
+++ b/src/core/key_leader_placement.cc
@@ -43,7 +43,7 @@
     // An endpoint that has just ended stays in the list for some seconds.
     const bool unreachable =
         each->consecutive_unreachable > 0 && now - each->last_unreachable_at < kUnresponsiveTime;
-    if (each->entry.draining || unreachable || unresponsive.contains(each->entry.id)) {
+    if (each->draining() || unreachable || unresponsive.contains(each->entry.id)) {
       continue;
     }
     // The relative number of requests per second that the endpoint can handle.
--- a/src/core/key_range.h
+++ b/src/core/key_range.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "core/endpoint_notice.h"
 #include "core/identifiers.h"
 
 namespace sycamorestall {
@@ -64,6 +65,8 @@
   Outcome outcome = Outcome::kRefused;
   // State to pass to the next owner of the keys; empty if there is none.
   std::string handover_state;
+  // What the reply says about the endpoint.
+  EndpointNotice notice{};
 
   friend bool operator==(const OrderReply&, const OrderReply&) = default;
 };
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -24,6 +24,18 @@
   }
 };
 
+// An endpoint said in an answer that it is being removed from service.
+struct DrainReport {
+  InstanceId endpoint;
+  Incarnation incarnation;
+
+  // Serialization by cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, incarnation);
+  }
+};
+
 // Requests for each key of a service, counted since the sender's last message.
 struct ServiceDemand {
   ServiceName service;
@@ -78,6 +90,8 @@
   std::vector<ServiceDemand> demands;
   std::vector<AnnouncementPart> announcements;
   std::vector<NotOwnerReport> not_owner_reports;
+  // Listed endpoints that announced that they are draining while their entries say otherwise.
+  std::vector<DrainReport> drain_reports;
   std::vector<LeadershipHandOver> leadership_hand_overs;
   std::vector<StoreUpdate> store_updates;
   // The revision up to which the sender knows the store; 0 if it does not.
--- a/src/router/formats.h
+++ b/src/router/formats.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/endpoint_entry.h"
+#include "core/endpoint_notice.h"
 #include "core/key_range.h"
 #include "core/routing_config.h"
 #include "net/http_types.h"
@@ -54,6 +55,8 @@
   virtual AnswerKind ClassifyAnswer(const HttpAnswer& answer, const std::string& id) const = 0;
   // The id of the request that an endpoint's answer belongs to; empty if the answer bears none.
   virtual std::string AnsweredRequest(const HttpAnswer& answer) const = 0;
+  // Parses what an accepted answer says about the endpoint itself.
+  virtual EndpointNotice ParseNotice(const HttpAnswer& answer) const = 0;
   // Formats the head of an endpoint's answer for the caller, without the final empty line.
   virtual std::string FormatAnswerHead(const HttpAnswer& answer) const = 0;
   // Formats the head of an answer that the daemon itself gives, without the final empty
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -38,11 +38,12 @@
 }  // namespace
 
 KeyService::KeyService(KeyLeaderSettings settings, Store& store, ConnectionPool& pool,
-                       const OrderFormat& order_format)
+                       const OrderFormat& order_format, EndpointObserver& endpoint_observer)
     : settings_(settings),
       store_(store),
       pool_(pool),
       order_format_(order_format),
+      endpoint_observer_(endpoint_observer),
       leader_(std::move(settings), std::make_unique<DensePiecePlacement>()) {}
 
 void KeyService::ApplyRecordItem(const std::string& key_suffix, const StoreItem& item) {
@@ -204,7 +205,7 @@
   call.message = std::move(message);
   call.connect_timeout = kOrderConnectTimeout;
   call.deadline = now + timeout;
-  const SentOrder sent{order, description + " endpoint=" + endpoint.value(), now};
+  const SentOrder sent{order, endpoint, description + " endpoint=" + endpoint.value(), now};
   pool_.Call(endpoint.value(), address, std::move(call), now,
              [this, sent](const CallResult& result) { HandleOrderResult(sent, result); });
 }
@@ -213,7 +214,9 @@
   const Instant now = BootNow();
   LogOrderResult(order, result, now);
   if (result.outcome == CallOutcome::kAnswered) {
-    leader_.HandleOrderReply(order.order, order_format_.ParseReply(result.answer), now);
+    const OrderReply reply = order_format_.ParseReply(result.answer);
+    endpoint_observer_.HandleNotice(order.endpoint, reply.notice, order.sent_at, now);
+    leader_.HandleOrderReply(order.order, reply, now);
   } else {
     leader_.HandleOrderFailure(order.order, !NothingWasSent(result.outcome), now);
   }
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -12,6 +12,7 @@
 #include "log/log.h"
 #include "net/connection_pool.h"
 #include "router/daemon_message.h"
+#include "router/endpoint_observer.h"
 #include "router/formats.h"
 
 namespace sycamorestall {
@@ -24,7 +25,7 @@
 class KeyService {
  public:
   KeyService(KeyLeaderSettings settings, Store& store, ConnectionPool& pool,
-             const OrderFormat& order_format);
+             const OrderFormat& order_format, EndpointObserver& endpoint_observer);
 
   // Applies a changed store item of the record. The suffix of its key after the service
   // name is empty for the head and otherwise the number of a piece.
@@ -79,9 +80,10 @@
   void ExecuteActions();
   KeyAnnouncement BuildAnnouncement(std::size_t interval_factor, Instant now);
   std::vector<AnnouncementPart> SplitIntoParts(const KeyAnnouncement& announcement) const;
-  // What the log tells of an order when its result is known.
+  // What is known of an order when its result comes.
   struct SentOrder {
     std::uint64_t order = 0;
+    InstanceId endpoint;
     std::string description;
     Instant sent_at;
   };
@@ -96,6 +98,7 @@
   Store& store_;
   ConnectionPool& pool_;
   const OrderFormat& order_format_;
+  EndpointObserver& endpoint_observer_;
   KeyLeader leader_;
   KeyRoutes routes_;
   UnservedKeys unserved_;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -294,7 +294,12 @@
 }
 
 void RequestRelay::HandleAnswer(CallResult result, Instant now) {
-  switch (context_.format.ClassifyAnswer(result.answer, attributes_.id)) {
+  const AnswerKind kind = context_.format.ClassifyAnswer(result.answer, attributes_.id);
+  if (kind != AnswerKind::kInvalid) {
+    context_.endpoint_observer.HandleNotice(endpoint_, context_.format.ParseNotice(result.answer),
+                                            sent_at_, now);
+  }
+  switch (kind) {
     case AnswerKind::kRun:
       FinishAttempt(AttemptResult::kServed, now);
       ForwardAnswer(std::move(result.answer), now);
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -11,6 +11,7 @@
 #include "metrics/metrics.h"
 #include "net/caller_connection.h"
 #include "net/connection_pool.h"
+#include "router/endpoint_observer.h"
 #include "router/formats.h"
 #include "router/key_directory.h"
 
@@ -26,6 +27,7 @@
   ConnectionPool& pool;
   const RequestFormat& format;
   KeyDirectory& key_directory;
+  EndpointObserver& endpoint_observer;
   const ComponentLog& log;
   Metrics& metrics;
   // The number of daemons that accept requests, including this one.
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -28,7 +28,7 @@
 
 // Routes callers' requests to endpoints by the operator's configuration. One event loop
 // on one thread serves callers, endpoints, the store and the other daemons.
-class RoutingDaemon : private StoreObserver, private KeyDirectory {
+class RoutingDaemon : private StoreObserver, private KeyDirectory, private EndpointObserver {
  public:
   // Creates the store client, which uses the daemon's connection pool.
   using StoreFactory = std::function<std::unique_ptr<Store>(ConnectionPool&)>;
@@ -58,6 +58,8 @@
   void CountRequest(const ServiceName& service, KeyNumber key) override;
   void ReportNotOwner(const ServiceName& service, KeyNumber key,
                       const InstanceId& endpoint) override;
+  void HandleNotice(const InstanceId& endpoint, const EndpointNotice& notice, Instant sent_at,
+                    Instant now) override;
 
   // Apply store items; return whether the item has to be relayed to the other daemons of the
   // domain.
@@ -86,6 +88,8 @@
   void Tick();
   void TickKeyServices(Instant now);
   void SendGossip(Instant now);
+  // The reports of endpoints that the other daemons cannot know from the list to be draining.
+  std::vector<DrainReport> DrainReports() const;
   void UpdatePeerLoads(Instant now);
   // The daemons to send messages to: registered ones, and those whose registration lapsed
   // but which were heard recently.
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -84,10 +84,30 @@
       message.loads.push_back({id, static_cast<std::uint16_t>(state.in_flight)});
     }
   }
+  message.drain_reports = DrainReports();
   transport_.SendToAll(message);
   UpdatePeerLoads(now);
 }
 
+std::vector<DrainReport> RoutingDaemon::DrainReports() const {
+  std::vector<DrainReport> reports;
+  for (const auto& [id, state] : fleet_.all()) {
+    if (state.announced_draining && !state.entry.draining) {
+      reports.push_back({id, state.entry.incarnation});
+    }
+  }
+  return reports;
+}
+
+void RoutingDaemon::HandleNotice(const InstanceId& endpoint, const EndpointNotice& notice,
+                                 Instant sent_at, Instant now) {
+  if (fleet_.HandleNotice(endpoint, notice, sent_at, now)) {
+    log_.Info("endpoint drains id=" + endpoint.value() + " source=answer");
+    // The leader has to move its keys off it soon.
+    next_gossip_at_ = now;
+  }
+}
+
 std::optional<InstanceId> RoutingDaemon::ChooseSuccessor(Instant now) const {
   std::optional<InstanceId> successor;
   Instant heard_at = now - kPeerStateTimeToLive;
@@ -251,6 +271,12 @@
       service->second->HandleHandOver(hand_over, now);
     }
   }
+  for (const DrainReport& report : message.drain_reports) {
+    if (fleet_.HandleDrainReport(report.endpoint, report.incarnation, now)) {
+      log_.Info("endpoint drains id=" + report.endpoint.value() +
+                " source=" + message.sender.value());
+    }
+  }
   for (const NotOwnerReport& report : message.not_owner_reports) {
     const auto service = key_services_.find(report.service);
     if (service != key_services_.end()) {
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -114,7 +114,7 @@
   if (formats_.directory.IsEndpointKey(key)) {
     const InstanceId id = formats_.directory.EndpointIdFromKey(key);
     log_.Info("endpoint removed id=" + id.value());
-    fleet_.Remove(id);
+    fleet_.Remove(id, BootNow());
     pool_.CloseIdleConnections(id.value());
     return true;
   }
@@ -151,6 +151,7 @@
   if (!routes_ || !store_watcher_.loaded()) {
     return;
   }
+  EndpointObserver& observer = *this;
   for (const auto& [name, service_config] : routes_->config().services) {
     if (!service_config.has_exclusive_keys || key_services_.contains(name)) {
       continue;
@@ -159,7 +160,8 @@
     settings.service = name;
     settings.self = settings_.instance;
     settings.time_to_live = std::min(settings.time_to_live, settings_.max_grant_time_to_live);
-    key_services_[name] = std::make_unique<KeyService>(settings, *store_, pool_, formats_.orders);
+    key_services_[name] =
+        std::make_unique<KeyService>(settings, *store_, pool_, formats_.orders, observer);
     for (const auto& [key, item] : record_items_) {
       ApplyRecordItem(item);
     }
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -325,3 +325,14 @@
     CHECK(report.longest_gap_ms <= 1000);
   }
 }
+
+TEST_CASE("keys of an endpoint that announced its leaving move although its entry says ready") {
+  SingleLeaderSetup setup;
+  setup.AddEndpoint("a", "10.0.0.1");
+  setup.AddEndpoint("b", "10.0.0.2");
+  setup.RunFor(std::chrono::seconds{5});
+  REQUIRE(setup.Owners().contains(InstanceId{"a"}));
+  setup.fleet.HandleNotice(InstanceId{"a"}, {.draining = true}, setup.now, setup.now);
+  setup.RunFor(std::chrono::milliseconds{500});
+  CHECK(setup.Owners() == std::set<InstanceId>{InstanceId{"b"}});
+}
--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -104,7 +104,7 @@
   }
   for (const FakeEndpoint& each : endpoints_) {
     if (!each.listed) {
-      daemon.fleet.Remove(each.id);
+      daemon.fleet.Remove(each.id, Now());
       continue;
     }
     EndpointEntry entry;
--- a/tests/core/routing_test.cc
+++ b/tests/core/routing_test.cc
@@ -312,3 +312,71 @@
     CHECK(fleet.Find(InstanceId{"a"})->AcceptsOwnedKeys(now) == row.accepts);
   }
 }
+
+TEST_CASE("an endpoint that announced its leaving is not used again until it restarts") {
+  enum class Event { kEntry, kRestart, kRemoved, kAnnounced, kOldAnswer, kReported, kOldReport };
+  struct Row {
+    std::string name;
+    std::vector<Event> events;
+    bool draining;
+  };
+  using E = Event;
+  const Row rows[] = {
+      {"never announced", {E::kEntry, E::kEntry}, false},
+      {"announced", {E::kEntry, E::kAnnounced}, true},
+      {"its entry says ready", {E::kEntry, E::kAnnounced, E::kEntry}, true},
+      {"its entry lapses and comes back", {E::kEntry, E::kAnnounced, E::kRemoved, E::kEntry}, true},
+      {"announced after its entry lapsed",
+       {E::kEntry, E::kRemoved, E::kAnnounced, E::kEntry},
+       true},
+      {"restarted", {E::kEntry, E::kAnnounced, E::kRestart}, false},
+      {"restarted after it was removed",
+       {E::kEntry, E::kAnnounced, E::kRemoved, E::kRestart},
+       false},
+      {"answer from before the restart", {E::kEntry, E::kRestart, E::kOldAnswer}, false},
+      {"reported by another daemon", {E::kEntry, E::kReported, E::kEntry}, true},
+      {"report of an earlier start", {E::kEntry, E::kRestart, E::kOldReport}, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    EndpointEntry entry = MakeEndpoint("a");
+    entry.incarnation = {1};
+    Instant now = kStart;
+    for (const Event event : row.events) {
+      now += milliseconds{100};
+      switch (event) {
+        case Event::kRestart:
+          ++entry.incarnation.value;
+          [[fallthrough]];
+        case Event::kEntry:
+          fleet.Put(entry, now);
+          break;
+        case Event::kRemoved:
+          fleet.Remove(entry.id, now);
+          break;
+        case Event::kAnnounced:
+          CHECK(fleet.HandleNotice(entry.id, {.draining = true}, now, now));
+          // A repeated announcement is not new.
+          CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, now, now));
+          break;
+        case Event::kOldAnswer:
+          CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, kStart, now));
+          break;
+        case Event::kReported:
+          CHECK(fleet.HandleDrainReport(entry.id, entry.incarnation, now));
+          break;
+        case Event::kOldReport:
+          CHECK_FALSE(fleet.HandleDrainReport(entry.id, {1}, now));
+          break;
+      }
+    }
+    const EndpointState& endpoint = *fleet.Find(entry.id);
+    CHECK(endpoint.draining() == row.draining);
+    CHECK(endpoint.AcceptsOwnedKeys(now));
+    CHECK(endpoint.AcceptsOwnedKeys(now + seconds{2}) == !row.draining);
+    const DomainReachability domains;
+    const auto choice = LeastLatencyChooser{}.Choose(
+        fleet, {ServiceName{"pumps"}, DomainName{"north"}, {}, 1.2, domains, now});
+    CHECK(choice.has_value() == !row.draining);
+  }
+}
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -71,6 +71,11 @@
   fault_ = fault;
 }
 
+void KeyEndpoint::SetLeaving(bool leaving) {
+  const std::lock_guard lock{mutex_};
+  leaving_ = leaving;
+}
+
 void KeyEndpoint::Restart() {
   const std::lock_guard lock{mutex_};
   grants_.clear();
@@ -113,7 +118,7 @@
   const auto begin = highest_tokens_.begin() + range.first;
   const auto end = highest_tokens_.begin() + range.last + 1;
   if (std::any_of(begin, end, [token](std::uint64_t seen) { return seen > token; })) {
-    AnswerJson(exchange, 409, json::object());
+    SendOrderReply(exchange, 409, "");
     return;
   }
   std::fill(begin, end, token);
@@ -126,7 +131,7 @@
     return range.first <= grant.range.first && grant.range.last <= range.last;
   });
   grants_.push_back({range, token, BootNow() + lifetime});
-  AnswerJson(exchange, 200, json::object());
+  SendOrderReply(exchange, 200, "");
 }
 
 void KeyEndpoint::HandleRelease(CallerExchange& exchange) {
@@ -145,16 +150,30 @@
     }
   }
   grants_ = std::move(kept);
+  std::string handover;
+  AppendHeader(handover, "X-Handover", "from-" + id_);
+  SendOrderReply(exchange, 200, handover);
+}
+
+std::string KeyEndpoint::AnswerHead(unsigned status) const {
+  std::string head = StatusLine(status);
+  if (leaving_) {
+    AppendHeader(head, "Server-Leaving", "1");
+  }
+  return head;
+}
+
+void KeyEndpoint::SendOrderReply(CallerExchange& exchange, unsigned status,
+                                 const std::string& headers) {
   OutgoingMessage message;
-  message.head = StatusLine(200);
-  AppendHeader(message.head, "X-Handover", "from-" + id_);
+  message.head = AnswerHead(status) + headers;
   AppendHeader(message.head, "Content-Length", "0");
   exchange.Answer(std::move(message));
 }
 
 void KeyEndpoint::SendNotExecuted(CallerExchange& exchange, unsigned status) {
   OutgoingMessage message;
-  message.head = StatusLine(status);
+  message.head = AnswerHead(status);
   AppendHeader(message.head, "X-Request-Id", HeaderValue(exchange, "X-Request-Id"));
   AppendHeader(message.head, "X-Not-Executed", "1");
   AppendHeader(message.head, "Content-Length", "0");
@@ -205,7 +224,7 @@
   OutgoingMessage message;
   message.body =
       std::make_shared<const std::string>("ran " + HeaderValue(exchange, "X-Request-Id"));
-  message.head = StatusLine(fault == EndpointFault::kFailing ? 500 : 200);
+  message.head = AnswerHead(fault == EndpointFault::kFailing ? 500 : 200);
   AppendHeader(message.head, "X-Request-Id",
                wrong_id ? "another" : HeaderValue(exchange, "X-Request-Id"));
   AppendHeader(message.head, "X-Server-Stamp", "stamp-" + id_);
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -43,6 +43,8 @@
   const std::string& id() const { return id_; }
   NetworkAddress address() const { return address_; }
   void SetFault(EndpointFault fault);
+  // Whether it says in all its answers, also to orders, that it is being removed from service.
+  void SetLeaving(bool leaving);
   // Simulates a restart: drops the grants, and the running requests with their connections.
   void Restart();
   void SetServiceTime(std::chrono::milliseconds service_time);
@@ -75,6 +77,10 @@
   bool HoldsKeyLocked(KeyNumber key) const;
   // Returns the fault to apply to the request with this id.
   EndpointFault ChooseFault(const std::string& id);
+  // The head of an answer, without its length and the final empty line.
+  std::string AnswerHead(unsigned status) const;
+  // Answers an order with the given additional headers.
+  void SendOrderReply(CallerExchange& exchange, unsigned status, const std::string& headers);
   void SendNotExecuted(CallerExchange& exchange, unsigned status);
   void SendAnswer(CallerExchange& exchange, EndpointFault fault);
   void RunEventLoop();
@@ -94,6 +100,7 @@
   std::vector<RunningRequest> running_;
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;
   EndpointFault fault_ = EndpointFault::kNone;
+  bool leaving_ = false;
   std::chrono::milliseconds service_time_{5};
   bool stopping_ = false;
   std::thread thread_;
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -4,6 +4,8 @@
 #include <string>
 
 #include "platform/directory_format.h"
+#include "platform/endpoint_notice_format.h"
+#include "platform/order_format.h"
 #include "platform/request_format.h"
 #include "router/daemon_message.h"
 #include "router/record_codec.h"
@@ -127,6 +129,7 @@
       message.loads.push_back({InstanceId{"e" + std::to_string(i)}, 3});
     }
     message.demands = {{ServiceName{"soil"}, {{17, 2}, {18, 1}}}};
+    message.drain_reports = {{InstanceId{"e1"}, {1700}}};
     message.announcements = {{ServiceName{"soil"}, {2}, 5, 4, 0, 1, {{{0, 9}, InstanceId{"e1"}}}}};
     const std::string bytes = EncodeMessage(message);
     const auto decoded = DecodeMessage(bytes);
@@ -134,6 +137,9 @@
     CHECK(decoded->demands.front().counts == message.demands.front().counts);
     CHECK(decoded->announcements.front().ranges == message.announcements.front().ranges);
     CHECK(decoded->loads.size() == row.loads);
+    REQUIRE(decoded->drain_reports.size() == 1);
+    CHECK(decoded->drain_reports.front().endpoint == InstanceId{"e1"});
+    CHECK(decoded->drain_reports.front().incarnation == Incarnation{1700});
     for (std::size_t size = 0; size < bytes.size(); ++size) {
       CHECK_FALSE(DecodeMessage(bytes.substr(0, size)).has_value());
     }
@@ -159,3 +165,35 @@
   CHECK(head.find("X-Deadline-Ms: 250\r\n") != std::string::npos);
   CHECK(head.find("X-Expect-Instance: i-1\r\n") != std::string::npos);
 }
+
+TEST_CASE("an endpoint that says in any answer that it leaves is not taken for ready") {
+  struct Row {
+    std::string name;
+    unsigned status;
+    std::string header;
+    std::string value;
+    bool draining;
+  };
+  const Row rows[] = {{"success", 200, "Server-Leaving", "1", true},
+                      {"refusal", 503, "Server-Leaving", "1", true},
+                      {"failure", 500, "Server-Leaving", "1", true},
+                      {"letter case", 200, "server-leaving", "1", true},
+                      {"absent", 200, "X-Other", "1", false},
+                      {"not leaving", 200, "Server-Leaving", "0", false},
+                      {"another value", 200, "Server-Leaving", "11", false},
+                      {"no value", 200, "Server-Leaving", "", false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    HttpAnswer answer;
+    answer.result(row.status);
+    answer.set(row.header, row.value);
+    CHECK(platform::ParseEndpointNotice(answer).draining == row.draining);
+    CHECK(platform::PlatformRequestFormat{}.ParseNotice(answer).draining == row.draining);
+    CHECK(platform::PlatformOrderFormat{}.ParseReply(answer).notice.draining == row.draining);
+  }
+  // Another endpoint at the address says nothing about the one that the order was meant for.
+  HttpAnswer misdirected;
+  misdirected.result(421);
+  misdirected.set("Server-Leaving", "1");
+  CHECK_FALSE(platform::PlatformOrderFormat{}.ParseReply(misdirected).notice.draining);
+}
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -358,3 +358,73 @@
   CHECK(took->count() < 3750);
   CHECK(deployment.soil[owner]->HoldsKey(7));
 }
+
+TEST_CASE("no request reaches an endpoint that said it leaves, though its entry says ready") {
+  struct Row {
+    std::string name;
+    // Requests go to the first daemon until the endpoint has said that it leaves, and then to this
+    // one.
+    std::size_t daemon;
+    StoreFault store_fault;
+  };
+  const Row rows[] = {{"told by the endpoint", 0, StoreFault::kNone},
+                      {"told by another daemon", 1, StoreFault::kNone},
+                      {"store unreachable", 0, StoreFault::kSilent}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterDeployment deployment{2, 1, 2};
+    REQUIRE(deployment.WaitUntilServed());
+    deployment.store.SetFault(row.store_fault);
+    fakes::KeyEndpoint& leaving = *deployment.pumps[0];
+    leaving.SetLeaving(true);
+    const CallerRequest call{.path = "/pumps/1", .method = "POST"};
+    for (int i = 0; i < 100 && leaving.ExecutionCounts().empty(); ++i) {
+      CHECK(deployment.SendRequest(0, call).status == 200);
+    }
+    REQUIRE_FALSE(leaving.ExecutionCounts().empty());
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    const std::size_t runs = leaving.ExecutionCounts().size();
+    for (int i = 0; i < 30; ++i) {
+      CHECK(deployment.SendRequest(row.daemon, call).status == 200);
+    }
+    CHECK(leaving.ExecutionCounts().size() == runs);
+    CHECK(deployment.ReadLog(row.daemon).find("endpoint drains id=pump-0 ") != std::string::npos);
+  }
+}
+
+TEST_CASE("keys of an endpoint that said it leaves are served by another within the bound") {
+  RouterDeployment deployment{2, 2, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  const std::size_t owner = deployment.soil[0]->HoldsKey(7) ? 0 : 1;
+  deployment.soil[owner]->SetLeaving(true);
+  CHECK(deployment.SendRequest(0, {.key = 7}).status == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds{2000});
+  CHECK_FALSE(deployment.soil[owner]->HoldsKey(7));
+  CHECK(deployment.soil[1 - owner]->HoldsKey(7));
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    CHECK(deployment.SendRequest(daemon, {.key = 7}).status == 200);
+  }
+}
+
+TEST_CASE("keys of an endpoint that said it leaves are refused while the store is unreachable") {
+  RouterDeployment deployment{2, 2, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  const std::size_t owner = deployment.soil[0]->HoldsKey(7) ? 0 : 1;
+  deployment.store.SetFault(StoreFault::kBusy);
+  std::this_thread::sleep_for(std::chrono::milliseconds{1000});
+  deployment.soil[owner]->SetLeaving(true);
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    deployment.SendRequest(daemon, {.id = "first", .key = 7});
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{2000});
+  // The route's requests may wait 160 ms for an owner.
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    deployment.SendRequest(daemon, {.id = "waits", .key = 7});
+    const auto begin = Clock::now();
+    const CallerAnswer answer = deployment.SendRequest(daemon, {.id = "refused", .key = 7});
+    CHECK(answer.status == 503);
+    CHECK(Clock::now() - begin < std::chrono::milliseconds{100});
+  }
+  CHECK(CountExecutions(deployment, "waits") == 0);
+  CHECK(CountExecutions(deployment, "refused") == 0);
+}
