Leave a request that crosses the close of an idle connection unread

Callers may not repeat a command that was read.

Cause: after the close of an idle connection, input was read and thrown away as behind a closing answer (class: one way to end for two situations). There it protects the answer; here there is no answer, and reading turns "not read, send it again" into "outcome unknown". Besides, a connection counted as idle although a request had arrived that the event loop had not read yet.

Now input is read only after the socket is readable and in the same step, so that nothing is read that isn't looked at; an idle connection with bytes that have arrived is not closed, and after the close of one that is idle nothing is read any more.

Tests: "a request that has arrived is answered, not lost to the close of an idle connection" and "a request that crosses the close of an idle connection is not read".

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -67,6 +67,12 @@
 
 void CallerConnection::Start(Instant now) {
   last_activity_ = now;
+  beast::error_code error;
+  socket_.non_blocking(true, error);
+  if (error) {
+    Close();
+    return;
+  }
   ResetParser();
   Read();
 }
@@ -88,19 +94,44 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](const beast::error_code& error, std::size_t size) {
-        self->reading_ = false;
-        if (self->phase_ == Phase::kClosed) {
-          return;
-        }
-        if (error) {
-          self->Abandon();
-          return;
-        }
-        self->HandleInput(size);
-      });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const beast::error_code& error) {
+                       self->reading_ = false;
+                       if (self->phase_ == Phase::kClosed) {
+                         return;
+                       }
+                       if (error) {
+                         self->Abandon();
+                         return;
+                       }
+                       self->ReadAvailableInput();
+                     });
+}
+
+void CallerConnection::ReadAvailableInput() {
+  if (phase_ == Phase::kClosedUnread) {
+    // Input is left unread; without any, the caller has closed the connection.
+    if (!HasUnreadInput()) {
+      Close();
+    }
+    return;
+  }
+  beast::error_code error;
+  const std::size_t size = socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error == asio::error::would_block) {
+    Read();
+    return;
+  }
+  if (error) {
+    Abandon();
+    return;
+  }
+  HandleInput(size);
+}
+
+bool CallerConnection::HasUnreadInput() {
+  beast::error_code ignored;  // A socket that is broken has no input.
+  return socket_.available(ignored) > 0;
 }
 
 void CallerConnection::HandleInput(std::size_t size) {
@@ -226,7 +257,7 @@
   exchanges_.erase(exchanges_.begin(), exchanges_.begin() + static_cast<std::ptrdiff_t>(count));
   last_activity_ = BootNow();
   if (close) {
-    Linger();
+    EndOutput(Phase::kLingering);
     return;
   }
   WriteAnswers();
@@ -236,8 +267,8 @@
   }
 }
 
-void CallerConnection::Linger() {
-  phase_ = Phase::kLingering;
+void CallerConnection::EndOutput(Phase phase) {
+  phase_ = phase;
   beast::error_code ignored;  // The connection is closed in any case.
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   buffer_.clear();
@@ -261,7 +292,7 @@
     return;
   }
   const Duration idle_time = now - last_activity_;
-  if (phase_ == Phase::kLingering) {
+  if (phase_ != Phase::kOpen) {
     if (idle_time > kLingerTimeout) {
       Close();
     }
@@ -279,12 +310,12 @@
 
 void CallerConnection::CloseWhenIdle() {
   close_after_answer_ = true;
-  if (phase_ != Phase::kOpen || !exchanges_.empty() || parser_->got_some()) {
+  const bool idle = exchanges_.empty() && !parser_->got_some() && !HasUnreadInput();
+  if (phase_ != Phase::kOpen || !idle) {
     return;
   }
-  input_done_ = true;
   last_activity_ = BootNow();
-  Linger();
+  EndOutput(Phase::kClosedUnread);
 }
 
 void CallerConnection::Close() {
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -91,10 +91,16 @@
 
   // kLingering: after the last answer, further input is read and discarded for a while. Closing
   // at once would reset the connection, and the caller might lose the answer.
-  enum class Phase { kOpen, kLingering, kClosed };
+  // kClosedUnread: closed while idle. A request that was on its way then can't be answered any
+  // more, so it is not read either: callers may repeat what was not read.
+  enum class Phase { kOpen, kLingering, kClosedUnread, kClosed };
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  // Waits for input, then reads it.
   void Read();
+  void ReadAvailableInput();
+  // Whether bytes have arrived that were not read.
+  bool HasUnreadInput();
   void HandleInput(std::size_t size);
   void ParseRequests();
   // Sends "100 Continue" if the caller waits for it and all earlier requests are answered.
@@ -105,9 +111,9 @@
   // closes the connection.
   void WriteAnswers();
   void FinishWrite(std::size_t count, bool close);
-  // Ends the output, then discards further input until the caller closes the connection or a
-  // timeout passes.
-  void Linger();
+  // Ends the output and enters the phase, until the caller closes the connection or a timeout
+  // passes.
+  void EndOutput(Phase phase);
   // Closes the socket and notifies the owners of open requests.
   void Abandon();
   void ResetParser();
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -69,6 +69,25 @@
       received.append(bytes, size);
     }
   }
+  // Sends bytes that the listener's event loop does not see before the next run.
+  void SendUnseen(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+  // Sends as many of the bytes as the other side takes and returns their number.
+  std::size_t SendUntilBlocked(const std::string& bytes) {
+    socket_.non_blocking(true);
+    std::size_t sent = 0;
+    boost::system::error_code error;
+    while (sent < bytes.size()) {
+      sent += socket_.write_some(asio::buffer(bytes) + sent, error);
+      if (error == asio::error::would_block) {
+        Run();
+        sent += socket_.write_some(asio::buffer(bytes) + sent, error);
+      }
+      if (error) {
+        break;
+      }
+    }
+    return sent;
+  }
   void Close() {
     socket_.close();
     Run();
@@ -221,6 +240,28 @@
   CHECK(fixture.collector.exchanges.size() == 1);
 }
 
+TEST_CASE("a request that has arrived is answered, not lost to the close of an idle connection") {
+  ConnectionFixture fixture;
+  fixture.Run();
+  fixture.SendUnseen("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  fixture.listener().CloseConnectionsWhenIdle();
+  fixture.Run();
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  fixture.Answer(0, "done");
+  CHECK(PositionOf(fixture.Received(), "done") != std::string::npos);
+}
+
+TEST_CASE("a request that crosses the close of an idle connection is not read") {
+  ConnectionFixture fixture;
+  fixture.Run();
+  fixture.listener().CloseConnectionsWhenIdle();
+  fixture.Run();
+  fixture.Received();
+  CHECK(fixture.connection_ended);
+  const std::string request(std::size_t{32} * 1024 * 1024, 'x');
+  CHECK(fixture.SendUntilBlocked(request) < request.size());
+}
+
 TEST_CASE("idle connections are closed after their timeout, busy ones are not") {
   struct Row {
     std::string name;
