Send nothing to an endpoint before the time to retry that it asked for

An endpoint that refuses with 503 may say for how long it wants no requests from this daemon. Nothing read that: requests went on to it, and those for its keys were sent to it up to three times each, so that callers waited 0.2 s for a refusal and were told to come back after 0.1 s.

The time now counts from the answer, for this start of the endpoint and this daemon. Others are chosen meanwhile; requests for its keys get 503 at once with the time that is left, and so do requests of a service whose endpoints all pause, with the shortest. A shorter pause does not end a longer one. Text that is no number of seconds is ignored with a log line, and more than 5 min are cut to that. Grants are renewed meanwhile: the endpoint keeps its keys, and without the renewals they would be served nowhere.

--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -35,7 +35,8 @@
   double best_expected_s = 0;
   for (const auto& [id, state] : fleet.EndpointsOfService(request.service)) {
     const EndpointState& endpoint = *state;
-    if (endpoint.draining() || request.tried.contains(id)) {
+    const bool paused = endpoint.PauseLeft(request.now) > Duration{};
+    if (endpoint.draining() || paused || request.tried.contains(id)) {
       continue;
     }
     const double expected_latency_s = ExpectedLatencySeconds(endpoint, mean_s, request.now);
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -89,6 +89,7 @@
   if (removed != removed_.end() && IsSameStart(removed->second.state.entry, entry)) {
     state.announced_draining = removed->second.state.announced_draining;
     state.draining_since = removed->second.state.draining_since;
+    state.paused_until = removed->second.state.paused_until;
   }
   removed_.erase(entry.id);
   return state;
@@ -107,13 +108,19 @@
   endpoints_.erase(found);
 }
 
-bool EndpointFleet::HandleNotice(const InstanceId& id, const EndpointNotice& notice,
-                                 Instant sent_at, Instant now) {
+EndpointNoticeEffect EndpointFleet::HandleNotice(const InstanceId& id, const EndpointNotice& notice,
+                                                 Instant sent_at, Instant now) {
   EndpointState* state = FindKnown(id);
   if (state == nullptr || sent_at < state->listed_at) {
-    return false;
+    return {};
   }
-  return notice.draining && AnnounceDraining(*state, now);
+  EndpointNoticeEffect effect;
+  effect.began_draining = notice.draining && AnnounceDraining(*state, now);
+  if (notice.pause) {
+    effect.began_pause = state->PauseLeft(now) == Duration{} && *notice.pause > Duration{};
+    state->paused_until = std::max(state->paused_until, now + *notice.pause);
+  }
+  return effect;
 }
 
 bool EndpointFleet::HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now) {
@@ -147,6 +154,17 @@
   return found == services_.end() ? kNone : found->second.endpoints;
 }
 
+Duration EndpointFleet::ShortestPause(const ServiceName& service, Instant now) const {
+  std::optional<Duration> shortest;
+  for (const auto& [id, state] : EndpointsOfService(service)) {
+    if (!state->draining()) {
+      const Duration pause = state->PauseLeft(now);
+      shortest = shortest ? std::min(*shortest, pause) : pause;
+    }
+  }
+  return shortest.value_or(Duration{});
+}
+
 double EndpointFleet::MeanServiceTimeSeconds(const ServiceName& service) const {
   const auto found = services_.find(service);
   if (found == services_.end() || found->second.measured == 0) {
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -34,6 +35,8 @@
   // Whether it said in an answer to this or another daemon that it is being removed from service.
   // That holds until it restarts, whatever its entry says.
   bool announced_draining = false;
+  // Until then it wants no requests from this daemon, as it said in an answer.
+  Instant paused_until;
   // Empty while the endpoint is not draining.
   std::optional<Instant> draining_since;
   // Requests from this daemon that it runs or has queued.
@@ -54,6 +57,8 @@
   std::size_t load() const { return in_flight + peers_in_flight; }
   // Whether it is being removed from service, by its entry or by its answers.
   bool draining() const { return entry.draining || announced_draining; }
+  // How much longer it wants no requests from this daemon; zero if it takes them.
+  Duration PauseLeft(Instant now) const { return std::max(paused_until - now, Duration{}); }
   // Whether requests for keys that it owns may be sent to it. A draining endpoint
   // accepts them only for a short grace period while its keys move. The period ends
   // even if the keys have not moved, for example because their leader has not heard
@@ -75,10 +80,9 @@
   void Remove(const InstanceId& id, Instant now);
 
   // Handles the notice of an endpoint's answer to a request that was sent at the given time.
-  // Answers of an earlier incarnation are ignored. Returns whether the endpoint was not known to
-  // have announced that it is draining.
-  bool HandleNotice(const InstanceId& id, const EndpointNotice& notice, Instant sent_at,
-                    Instant now);
+  // Answers of an earlier incarnation are ignored. Returns what was new.
+  EndpointNoticeEffect HandleNotice(const InstanceId& id, const EndpointNotice& notice,
+                                    Instant sent_at, Instant now);
   // Handles another daemon's report that this incarnation announced that it is draining. Returns
   // whether that was not known.
   bool HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now);
@@ -89,6 +93,9 @@
   const std::map<InstanceId, const EndpointState*>& EndpointsOfService(
       const ServiceName& service) const;
   const std::map<InstanceId, EndpointState>& all() const { return endpoints_; }
+  // How long until an endpoint of the service takes requests again; zero if one does or all are
+  // draining.
+  Duration ShortestPause(const ServiceName& service, Instant now) const;
   // Mean service time over the measured endpoints of a service, in seconds; 0 while
   // unknown.
   double MeanServiceTimeSeconds(const ServiceName& service) const;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -108,7 +108,8 @@
       EndpointChoiceRequest{service_, context_.domain, excluded_endpoints_,
                             CrossDomainCostFactor(route_->kind), context_.domains, now});
   if (!choice) {
-    AnswerFailure("no endpoint", kRetryAfterNoEndpoint, now);
+    const Duration pause = context_.fleet.ShortestPause(service_, now);
+    AnswerFailure("no endpoint", std::max<Duration>(kRetryAfterNoEndpoint, pause), now);
     return;
   }
   const EndpointState* endpoint = context_.fleet.Find(choice->endpoint);
@@ -150,6 +151,11 @@
     WaitForOwner(now);
     return;
   }
+  const Duration pause = endpoint->PauseLeft(now);
+  if (pause > Duration{}) {
+    AnswerFailure("owner paused", pause, now);
+    return;
+  }
   if (may_have_run_ && *owner != endpoint_ && arrival_count_ >= route_->max_attempts) {
     AnswerFailure("no tries left", kRetryAfterDeclined, now);
     return;
@@ -339,9 +345,12 @@
 
 void RequestRelay::HandleNotRun(bool may_retry_owner, Instant now) {
   FinishAttempt(AttemptResult::kDeclined, now);
-  const bool retrying = may_retry_owner && OwnerHasFreeSlot() && ScheduleOwnerRetry(true, now);
+  const bool retrying =
+      may_retry_owner && OwnerMayTakeAnother(now) && ScheduleOwnerRetry(true, now);
   if (!retrying && !RetryOtherEndpoint(true, now)) {
-    AnswerFailure("endpoint declined", kRetryAfterDeclined, now);
+    const EndpointState* owner = routed_by_key_ ? context_.fleet.Find(endpoint_) : nullptr;
+    const Duration pause = owner == nullptr ? Duration{} : owner->PauseLeft(now);
+    AnswerFailure("endpoint declined", std::max<Duration>(kRetryAfterDeclined, pause), now);
   }
 }
 
@@ -357,9 +366,10 @@
   return true;
 }
 
-bool RequestRelay::OwnerHasFreeSlot() const {
+bool RequestRelay::OwnerMayTakeAnother(Instant now) const {
   const EndpointState* owner = context_.fleet.Find(endpoint_);
-  return owner != nullptr && owner->load() < owner->entry.slots;
+  return owner != nullptr && owner->load() < owner->entry.slots &&
+         owner->PauseLeft(now) == Duration{};
 }
 
 bool RequestRelay::RetryOtherEndpoint(bool reached_endpoint, Instant now) {
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -75,8 +75,9 @@
   // Schedules a resend to the owner of the request's key, after a delay if the last
   // attempt reached it. Returns false if that is not allowed.
   bool ScheduleOwnerRetry(bool reached_endpoint, Instant now);
-  // Whether the owner that the request was last sent to is estimated to have a free slot.
-  bool OwnerHasFreeSlot() const;
+  // Whether the owner that the request was last sent to is estimated to have a free slot, and wants
+  // requests.
+  bool OwnerMayTakeAnother(Instant now) const;
   // Like Retry, but excludes the last endpoint.
   bool RetryOtherEndpoint(bool reached_endpoint, Instant now);
   void WaitForOwner(Instant now);
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -101,11 +101,19 @@
 
 void RoutingDaemon::HandleNotice(const InstanceId& endpoint, const EndpointNotice& notice,
                                  Instant sent_at, Instant now) {
-  if (fleet_.HandleNotice(endpoint, notice, sent_at, now)) {
+  const EndpointNoticeEffect effect = fleet_.HandleNotice(endpoint, notice, sent_at, now);
+  if (effect.began_draining) {
     log_.Info("endpoint drains id=" + endpoint.value() + " source=answer");
     // The leader has to move its keys off it soon.
     next_gossip_at_ = now;
   }
+  if (effect.began_pause) {
+    log_.Info("endpoint pauses id=" + endpoint.value() +
+              " ms=" + FormatMilliseconds(*notice.pause));
+  }
+  if (!notice.malformed_pause.empty()) {
+    log_.Warning("malformed pause of an endpoint ignored id=" + endpoint.value());
+  }
 }
 
 std::optional<InstanceId> RoutingDaemon::ChooseSuccessor(Instant now) const {
--- a/tests/core/routing_test.cc
+++ b/tests/core/routing_test.cc
@@ -355,12 +355,12 @@
           fleet.Remove(entry.id, now);
           break;
         case Event::kAnnounced:
-          CHECK(fleet.HandleNotice(entry.id, {.draining = true}, now, now));
+          CHECK(fleet.HandleNotice(entry.id, {.draining = true}, now, now).began_draining);
           // A repeated announcement is not new.
-          CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, now, now));
+          CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, now, now).began_draining);
           break;
         case Event::kOldAnswer:
-          CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, kStart, now));
+          CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, kStart, now).began_draining);
           break;
         case Event::kReported:
           CHECK(fleet.HandleDrainReport(entry.id, entry.incarnation, now));
@@ -380,3 +380,51 @@
     CHECK(choice.has_value() == !row.draining);
   }
 }
+
+TEST_CASE("an endpoint that wants no requests for some time is not chosen until that has passed") {
+  struct Row {
+    std::string name;
+    // The pauses that it asks for at the start, one after the other.
+    std::vector<int> pauses_ms;
+    bool relisted;
+    bool restarted;
+    int elapsed_ms;
+    int left_ms;
+  };
+  const Row rows[] = {
+      {"no pause", {}, false, false, 0, 0},
+      {"a pause of zero", {0}, false, false, 0, 0},
+      {"during the pause", {2000}, false, false, 1500, 500},
+      {"after the pause", {2000}, false, false, 2000, 0},
+      {"a shorter pause does not end a longer one", {2000, 100}, false, false, 1500, 500},
+      {"a longer pause extends a shorter one", {100, 2000}, false, false, 1500, 500},
+      {"its entry lapses and comes back", {2000}, true, false, 1500, 500},
+      {"restarted", {2000}, false, true, 1500, 0}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    EndpointEntry entry = MakeEndpoint("a");
+    fleet.Put(entry, kStart);
+    bool began = false;
+    for (const int pause_ms : row.pauses_ms) {
+      const EndpointNotice notice{.pause = milliseconds{pause_ms}};
+      began = fleet.HandleNotice(entry.id, notice, kStart, kStart).began_pause || began;
+    }
+    CHECK(began == (!row.pauses_ms.empty() && row.pauses_ms.front() > 0));
+    const Instant now = kStart + milliseconds{row.elapsed_ms};
+    if (row.relisted) {
+      fleet.Remove(entry.id, now);
+    }
+    entry.incarnation.value += row.restarted ? 1 : 0;
+    fleet.Put(entry, now);
+    CHECK(fleet.Find(entry.id)->PauseLeft(now) == milliseconds{row.left_ms});
+    CHECK(fleet.ShortestPause(entry.service, now) == milliseconds{row.left_ms});
+    const DomainReachability domains;
+    const auto choice = LeastLatencyChooser{}.Choose(
+        fleet, {ServiceName{"pumps"}, DomainName{"north"}, {}, 1.2, domains, now});
+    CHECK(choice.has_value() == (row.left_ms == 0));
+    // Another endpoint takes the requests meanwhile.
+    fleet.Put(MakeEndpoint("b"), now);
+    CHECK(fleet.ShortestPause(entry.service, now) == Duration{});
+  }
+}
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -76,6 +76,16 @@
   leaving_ = leaving;
 }
 
+void KeyEndpoint::SetRetryAfter(const std::string& seconds) {
+  const std::lock_guard lock{mutex_};
+  retry_after_ = seconds;
+}
+
+int KeyEndpoint::ArrivalCount() {
+  const std::lock_guard lock{mutex_};
+  return arrival_count_;
+}
+
 void KeyEndpoint::Restart() {
   const std::lock_guard lock{mutex_};
   grants_.clear();
@@ -160,6 +170,9 @@
   if (leaving_) {
     AppendHeader(head, "Server-Leaving", "1");
   }
+  if (status == 503 && !retry_after_.empty()) {
+    AppendHeader(head, "Retry-After", retry_after_);
+  }
   return head;
 }
 
@@ -200,6 +213,7 @@
   const EndpointFault fault =
       is_order ? EndpointFault::kNone : ChooseFault(HeaderValue(*exchange, "X-Request-Id"));
   const bool is_full = fault == EndpointFault::kFull;
+  arrival_count_ += is_order ? 0 : 1;
   const auto key = static_cast<KeyNumber>(std::stoul("0" + HeaderValue(*exchange, "X-Shard-Key")));
   const bool key_is_not_held = owns_keys_ && !is_order && !is_full && !HoldsKeyLocked(key);
   if (is_for_another_instance || key_is_not_held || fault == EndpointFault::kMisdirected) {
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -45,6 +45,10 @@
   void SetFault(EndpointFault fault);
   // Whether it says in all its answers, also to orders, that it is being removed from service.
   void SetLeaving(bool leaving);
+  // The time to retry that it sends with each 503; none if empty.
+  void SetRetryAfter(const std::string& seconds);
+  // Number of requests that arrived, refused ones included, without orders.
+  int ArrivalCount();
   // Simulates a restart: drops the grants, and the running requests with their connections.
   void Restart();
   void SetServiceTime(std::chrono::milliseconds service_time);
@@ -101,6 +105,8 @@
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;
   EndpointFault fault_ = EndpointFault::kNone;
   bool leaving_ = false;
+  std::string retry_after_;
+  int arrival_count_ = 0;
   std::chrono::milliseconds service_time_{5};
   bool stopping_ = false;
   std::thread thread_;
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -197,3 +197,40 @@
   misdirected.set("Server-Leaving", "1");
   CHECK_FALSE(platform::PlatformOrderFormat{}.ParseReply(misdirected).notice.draining);
 }
+
+TEST_CASE("a time to retry that is malformed or absurd does not shut an endpoint out") {
+  using std::chrono::milliseconds;
+  struct Row {
+    std::string name;
+    unsigned status;
+    std::string value;
+    std::optional<Duration> pause;
+    bool malformed;
+  };
+  const std::optional<Duration> none;
+  const Row rows[] = {
+      {"whole seconds", 503, "2", milliseconds{2000}, false},
+      {"fraction", 503, "0.25", milliseconds{250}, false},
+      {"zero", 503, "0", milliseconds{0}, false},
+      {"absurdly long", 503, "99999999999999999999", std::chrono::minutes{5}, false},
+      {"negative", 503, "-1", none, true},
+      {"exponent", 503, "1e3", none, true},
+      {"too large for a number", 503, std::string(400, '9'), none, true},
+      {"infinite", 503, "inf", none, true},
+      {"not a number", 503, "nan", none, true},
+      {"date", 503, "Wed, 21 Oct 2026 07:28:00 GMT", none, true},
+      {"unit", 503, "2s", none, true},
+      {"empty", 503, "", none, false},
+      {"another refusal", 429, "2", none, false},
+      {"success", 200, "2", none, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    HttpAnswer answer;
+    answer.result(row.status);
+    answer.set("Retry-After", row.value);
+    const EndpointNotice notice = platform::ParseEndpointNotice(answer);
+    CHECK(notice.pause == row.pause);
+    CHECK(notice.malformed_pause == (row.malformed ? row.value : ""));
+    CHECK_FALSE(notice.draining);
+  }
+}
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -428,3 +428,63 @@
   CHECK(CountExecutions(deployment, "waits") == 0);
   CHECK(CountExecutions(deployment, "refused") == 0);
 }
+
+TEST_CASE("an endpoint that refuses with a time to retry gets no request until then") {
+  RouterDeployment deployment{1, 1, 2};
+  REQUIRE(deployment.WaitUntilServed());
+  fakes::KeyEndpoint& refusing = *deployment.pumps[0];
+  refusing.SetFault(EndpointFault::kFull);
+  refusing.SetRetryAfter("2.5");
+  const CallerRequest call{.path = "/pumps/1", .method = "POST"};
+  for (int i = 0; i < 100 && refusing.ArrivalCount() == 0; ++i) {
+    deployment.SendRequest(0, call);
+  }
+  const auto refused_at = Clock::now();
+  REQUIRE(refusing.ArrivalCount() == 1);
+  while (Clock::now() - refused_at < std::chrono::milliseconds{2000}) {
+    CHECK(deployment.SendRequest(0, call).status == 200);
+  }
+  CHECK(refusing.ArrivalCount() == 1);
+  // Once both endpoints refuse, callers are told at once when the first one takes requests again.
+  deployment.pumps[1]->SetFault(EndpointFault::kFull);
+  deployment.pumps[1]->SetRetryAfter("30");
+  deployment.SendRequest(0, call);
+  const CallerAnswer refusal = deployment.SendRequest(0, call);
+  CHECK(refusal.status == 503);
+  CHECK(std::stod(refusal.retry_after) <= 0.5);
+  CHECK(deployment.pumps[1]->ArrivalCount() > 1);
+  const int arrivals = deployment.pumps[1]->ArrivalCount();
+  refusing.SetFault(EndpointFault::kNone);
+  CHECK(TimeUntilStatus(deployment, call, 200).has_value());
+  CHECK(deployment.pumps[1]->ArrivalCount() == arrivals);
+  // A new start of an endpoint has asked for nothing.
+  deployment.pumps[1]->SetFault(EndpointFault::kNone);
+  deployment.RegisterEndpoint(*deployment.pumps[1], "ready", 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+  refusing.SetFault(EndpointFault::kFull);
+  CHECK(deployment.SendRequest(0, call).status == 200);
+  CHECK(deployment.ReadLog(0).find("endpoint pauses id=pump-0 ms=2500") != std::string::npos);
+}
+
+TEST_CASE("requests for keys of an owner that refuses with a time to retry get 503 until then") {
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  fakes::KeyEndpoint& owner = *deployment.soil[0];
+  owner.SetFault(EndpointFault::kFull);
+  owner.SetRetryAfter("2");
+  const int arrivals = owner.ArrivalCount();
+  for (int i = 0; i < 10; ++i) {
+    const auto begin = Clock::now();
+    const CallerAnswer answer = deployment.SendRequest(0, {.key = 7});
+    CHECK(answer.status == 503);
+    CHECK(Clock::now() - begin < std::chrono::milliseconds{100});
+    CHECK(std::stod(answer.retry_after) > 1);
+    CHECK(std::stod(answer.retry_after) <= 2);
+  }
+  CHECK(owner.ArrivalCount() == arrivals + 1);
+  owner.SetFault(EndpointFault::kNone);
+  const auto took = TimeUntilStatus(deployment, {.key = 7}, 200);
+  REQUIRE(took.has_value());
+  CHECK(took->count() <= 2500);
+  CHECK(owner.HoldsKey(7));
+}
