Answer requests that are open at the end of a stop

Callers whose requests a stopping daemon had passed on got no answer, commands among them: 5.5 s after SIGTERM the event loop was stopped, whatever was open (reported by operators of systems like this one).

Cause: the end of the time to stop ended the process, and only a request's own deadline ended a request (class: a timeout that ends the waiter, not what is waited for).

Now a stop ends requests as a deadline does, 0.7 s before the time to stop is over: the call is cancelled and the caller told 504, or 503 if nothing was passed on. That leaves 0.4 s to write the answers; no connection is accepted meanwhile, so that callers are refused at once rather than cut. Until then nothing is broken off.

Test: "requests that are open at the end of the time to stop are answered, not cut" (a silent endpoint; a command before the signal, a command and a read 2 s after it). Before: "CHECK( 0 == 504 )" in all three rows; passes after. RouterDeployment::WriteConfig takes the routes' timeout for it, 1 s as before if it is not given.

--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -31,6 +31,9 @@
 // An endpoint that is down is replaced as owner within seconds.
 constexpr std::chrono::milliseconds kRetryAfterUnreachable{800};
 
+// The reason of failures caused by a stop.
+constexpr const char* kDaemonStops = "daemon stops";
+
 // Traffic between domains is billed. Uploads carry most of the bytes and their latency
 // targets allow some waiting, so they are kept in the own domain for longer.
 constexpr double kUploadCrossDomainCostFactor = 2.0;
@@ -91,9 +94,11 @@
 }
 
 void RequestRelay::RefuseWhileStopping(Instant now) {
-  AnswerFailure("daemon stops", kRetryAfterDeclined, now);
+  AnswerFailure(kDaemonStops, kRetryAfterDeclined, now);
 }
 
+void RequestRelay::GiveUpToStop(Instant now) { GiveUp(kDaemonStops, now); }
+
 void RequestRelay::Dispatch(Instant now) {
   if (TimeLeft(now) <= kAnswerTransitTime) {
     AnswerFailure("no time left", kRetryAfterDeclined, now);
@@ -401,16 +406,7 @@
     return;
   }
   if (now >= deadline_) {
-    if (state_ == State::kAwaitingAnswer) {
-      ConnectionPool::Cancel(call_);
-      context_.fleet.CancelRequest(endpoint_);
-      may_have_run_ = true;
-    }
-    if (may_have_run_) {
-      AnswerLocally(http::kGatewayTimeout, "time is up", std::nullopt, now);
-    } else {
-      AnswerFailure("time is up", kRetryAfterDeclined, now);
-    }
+    GiveUp("time is up", now);
     return;
   }
   if (state_ == State::kWaitingForOwner || (state_ == State::kWaitingToRetry && now >= retry_at_)) {
@@ -418,6 +414,22 @@
   }
 }
 
+void RequestRelay::GiveUp(const std::string& reason, Instant now) {
+  if (finished_) {
+    return;
+  }
+  if (state_ == State::kAwaitingAnswer) {
+    ConnectionPool::Cancel(call_);
+    context_.fleet.CancelRequest(endpoint_);
+    may_have_run_ = true;
+  }
+  if (may_have_run_) {
+    AnswerLocally(http::kGatewayTimeout, reason, std::nullopt, now);
+  } else {
+    AnswerFailure(reason, kRetryAfterDeclined, now);
+  }
+}
+
 void RequestRelay::ForwardAnswer(HttpAnswer answer, Instant now) {
   finished_ = true;
   RecordOutcome(answer.result_int(), "answered", now);
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -44,6 +44,8 @@
   void Start(Instant now);
   // Refuses the request instead, as the daemon stops before it could be served.
   void RefuseWhileStopping(Instant now);
+  // Ends the request with an answer, as the daemon is about to end.
+  void GiveUpToStop(Instant now);
   // Dispatches again if the request waits for an owner or a retry, and ends it at its
   // deadline.
   void Tick(Instant now);
@@ -87,6 +89,8 @@
   void AnswerFailure(const std::string& reason, Duration retry_after, Instant now);
   void AnswerLocally(unsigned status, const std::string& reason,
                      std::optional<Duration> retry_after, Instant now);
+  // Cancels the running call, if any, and answers 504 if the request may have run, otherwise 503.
+  void GiveUp(const std::string& reason, Instant now);
   void HandleCallerDisconnect();
   void FinishAttempt(AttemptResult result, Instant now);
   void RecordDecisionInputs(const EndpointState& endpoint, double expected_latency_s, Instant now);
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -18,7 +18,10 @@
 // Requests are still served if they come within this time after a stop is requested; by then
 // callers know that the daemon is not ready.
 constexpr std::chrono::milliseconds kNewRequestGrace{2300};
-constexpr std::chrono::milliseconds kStopMargin{500};
+// How long before the stop timeout requests that are still open are answered, and how long before
+// it the process ends even if such answers are not written yet.
+constexpr std::chrono::milliseconds kLastAnswerMargin{700};
+constexpr std::chrono::milliseconds kStopMargin{300};
 
 // Answers a readiness or metrics request with plain text.
 void AnswerPlainText(CallerExchange& exchange, unsigned status, std::string text) {
@@ -293,6 +296,10 @@
   if (elapsed < kNewRequestGrace) {
     return;
   }
+  if (elapsed > settings_.stop_timeout - kLastAnswerMargin) {
+    caller_listener_->StopAccepting();
+    GiveUpOpenRequests(now);
+  }
   caller_listener_->CloseConnectionsWhenIdle();
   const bool out_of_time = elapsed > settings_.stop_timeout - kStopMargin;
   if (caller_listener_->open_requests() > 0 && !out_of_time) {
@@ -303,4 +310,11 @@
   context_.stop();
 }
 
+void RoutingDaemon::GiveUpOpenRequests(Instant now) {
+  const auto relays = active_relays_;
+  for (const auto& relay : relays) {
+    relay->GiveUpToStop(now);
+  }
+}
+
 }  // namespace sycamorestall
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -102,6 +102,8 @@
   std::optional<InstanceId> ChooseSuccessor(Instant now) const;
   void BeginStop(Instant now);
   void ContinueStop(Instant now);
+  // Answers all requests that are still open.
+  void GiveUpOpenRequests(Instant now);
   bool IsReady() const;
   // Updates the metrics that are computed on request.
   void UpdateGauges();
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -243,11 +243,13 @@
   return text.str();
 }
 
-void RouterDeployment::WriteConfig(int version, const std::string& pump_prefix, int unused_routes) {
-  const auto route = [](const std::string& prefix, const std::string& kind,
-                        const std::string& service) {
-    return json{{"name", service}, {"prefix", prefix}, {"kind", kind},       {"timeout_s", 1},
-                {"aim_s", 0.4},    {"priority", 1},    {"service", service}, {"max_attempts", 2}};
+void RouterDeployment::WriteConfig(int version, const std::string& pump_prefix, int unused_routes,
+                                   int route_timeout_s) {
+  const auto route = [route_timeout_s](const std::string& prefix, const std::string& kind,
+                                       const std::string& service) {
+    return json{
+        {"name", service}, {"prefix", prefix}, {"kind", kind},       {"timeout_s", route_timeout_s},
+        {"aim_s", 0.4},    {"priority", 1},    {"service", service}, {"max_attempts", 2}};
   };
   json routes{route("/soil/", "safe", "soil"), route(pump_prefix, "unsafe", "pumps")};
   std::mt19937_64 random{1};
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -49,7 +49,8 @@
 
   // Writes a configuration to the store; daemons ignore versions that do not rise. The prefixes
   // of the unused routes are the same in each version, and compress badly.
-  void WriteConfig(int version, const std::string& pump_prefix = "/pumps/", int unused_routes = 0);
+  void WriteConfig(int version, const std::string& pump_prefix = "/pumps/", int unused_routes = 0,
+                   int route_timeout_s = 1);
   // Writes an endpoint's entry to the store once; it is not renewed.
   void RegisterEndpoint(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
                         std::uint64_t start = 1);
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -339,6 +340,53 @@
   }
 }
 
+TEST_CASE("requests that are open at the end of the time to stop are answered, not cut") {
+  struct Row {
+    std::string name;
+    CallerRequest call;
+    std::chrono::milliseconds sent_after_signal;
+  };
+  const CallerRequest command{.path = "/pumps/1", .method = "POST", .timeout_ms = 9000};
+  const CallerRequest read{.key = 7, .timeout_ms = 9000};
+  const Row rows[] = {{"command before the signal", command, std::chrono::milliseconds{-200}},
+                      {"command late in the grace", command, std::chrono::milliseconds{2000}},
+                      {"read late in the grace", read, std::chrono::milliseconds{2000}}};
+  constexpr int kRouteTimeoutS = 9;
+  constexpr std::chrono::milliseconds kSignalDelay{300};
+  // The daemon would be killed 6 s after the signal.
+  constexpr std::chrono::milliseconds kStopTimeout{6000};
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  deployment.WriteConfig(2, "/valves/", 0, kRouteTimeoutS);
+  REQUIRE(deployment.ServesPumpsWithin(0, "/valves/", std::chrono::seconds{2}));
+  deployment.WriteConfig(3, "/pumps/", 0, kRouteTimeoutS);
+  REQUIRE(deployment.ServesPumpsWithin(0, "/pumps/", std::chrono::seconds{2}));
+  deployment.pumps.front()->SetFault(EndpointFault::kSilent);
+  deployment.soil.front()->SetFault(EndpointFault::kSilent);
+  const auto signal_at = Clock::now() + kSignalDelay;
+  std::vector<std::future<CallerAnswer>> answers;
+  for (const Row& row : rows) {
+    CallerRequest call = row.call;
+    call.id = row.name;
+    std::replace(call.id.begin(), call.id.end(), ' ', '-');
+    answers.push_back(std::async(std::launch::async, [&deployment, &row, call, signal_at] {
+      std::this_thread::sleep_until(signal_at + row.sent_after_signal);
+      return deployment.SendRequest(0, call);
+    }));
+  }
+  std::this_thread::sleep_until(signal_at);
+  deployment.SendSignal(0, SIGTERM);
+  CHECK(deployment.WaitForExit(0) == 0);
+  CHECK(Clock::now() - signal_at < kStopTimeout);
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    CAPTURE(rows[i].name);
+    const CallerAnswer answer = answers[i].get();
+    // Not 503: the request runs at its endpoint.
+    CHECK(answer.status == 504);
+    CHECK(CountExecutions(deployment, answer.id) <= 1);
+  }
+}
+
 TEST_CASE("after all daemons are killed the recorded owners serve their keys again") {
   RouterDeployment deployment{2, 3, 1};
   REQUIRE(deployment.WaitUntilServed());
