Take what a store that came back older has, though its revisions are lower

Cause (class: an order that assumes numbers never go back): watchers, the update log, relayed updates, gossip and the ownership record compare revisions as plain numbers. After the return all are below those seen.

A daemon that learns of a new era by any call, by gossip or by an update reads everything; log, progress and versions of earlier eras are dropped, late answers and updates of an earlier era as well.

--- a/src/core/identifiers.h
+++ b/src/core/identifiers.h
@@ -61,11 +61,30 @@
 using Term = Number<struct TermTag, std::uint64_t>;
 // Number of owners that a shard has had.
 using Epoch = Number<struct EpochTag, std::uint64_t>;
-// Number of writes that the store accepted for a key; 0 if the key is absent.
-using Revision = Number<struct RevisionTag, std::uint64_t>;
+// Number of times that the store has come back with an older copy of its contents.
+using StoreEra = Number<struct StoreEraTag, std::uint64_t>;
 // Distinguishes restarts of an instance's process.
 using Incarnation = Number<struct IncarnationTag, std::uint64_t>;
 
+// Position in the history of the store, or of one key; its value is 0 if the key is absent. In a
+// new era the store gives out the same values again, so the era takes precedence in comparisons.
+struct Revision {
+  std::uint64_t value{};
+  StoreEra era{};
+
+  friend bool operator==(const Revision&, const Revision&) = default;
+  friend std::strong_ordering operator<=>(const Revision& left, const Revision& right) {
+    const std::strong_ordering eras = left.era <=> right.era;
+    return eras != std::strong_ordering::equal ? eras : left.value <=> right.value;
+  }
+
+  // For serialization with cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(value, era);
+  }
+};
+
 // The endpoints of one service in one failure domain.
 struct GroupId {
   ServiceName service;
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -14,6 +14,9 @@
  public:
   explicit ConnectionPool(boost::asio::io_context& context) : context_(context) {}
 
+  // The event loop that runs the connections and their callbacks.
+  boost::asio::io_context& context() { return context_; }
+
   // Identifies a running call for Cancel().
   using CallHandle = std::weak_ptr<HttpConnection>;
 
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -154,6 +154,7 @@
   metrics_.SetGauge("requests_open", static_cast<double>(active_relays_.size()));
   metrics_.SetGauge("watches_for_domain", watches_for_domain_ ? 1 : 0);
   metrics_.SetGauge("store_revision", static_cast<double>(store_watcher_.revision().value));
+  metrics_.SetGauge("store_era", static_cast<double>(store_watcher_.revision().era.value));
   metrics_.SetGauge(
       "store_answer_age_seconds",
       std::chrono::duration<double>(BootNow() - store_watcher_.last_answer_at()).count());
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -61,6 +61,8 @@
   void HandleNotice(const InstanceId& endpoint, const EndpointNotice& notice, Instant sent_at,
                     Instant now) override;
 
+  // Drops what was to be relayed of the changes of earlier eras.
+  void BeginEra(Revision revision, Instant now);
   // Apply store items; return whether the item has to be relayed to the other daemons of the
   // domain.
   bool ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
@@ -118,6 +120,8 @@
   StoreWatcher store_watcher_;
   StoreUpdateLog update_log_;
   UpdateProgress update_progress_;
+  // The era of the applied items.
+  StoreEra store_era_;
   bool watches_for_domain_ = true;
   Instant next_store_update_at_;
   DaemonRegistry registry_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -163,7 +163,8 @@
   for (const auto& [id, peer] : peer_states_) {
     const bool eligible = peer.domain == settings_.domain &&
                           now - peer.heard_at < kPeerStateTimeToLive && !peer.stopping &&
-                          !peer.store_unreachable && peer.store_revision.value != 0;
+                          !peer.store_unreachable && peer.store_revision.value != 0 &&
+                          peer.store_revision.era >= store_watcher_.revision().era;
     if (eligible) {
       others.push_back({id, peer.knows_recent_changes, peer.weight});
     }
@@ -257,6 +258,7 @@
                                     message.store_revision,
                                     message.knows_recent_changes,
                                     message.weight};
+    store_watcher_.ObserveEra(message.store_revision.era);
   }
   for (const StoreUpdate& update : message.store_updates) {
     store_watcher_.ApplyUpdate(update, now);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -34,6 +34,7 @@
   log_.Info("store call finished call=" + std::string{ToString(call.call)} + " reason=\"" +
             call.reason + "\" ms=" + FormatMilliseconds(call.time) + FormatTransfer(call.transfer) +
             " from=" + std::to_string(call.from.value) + " to=" + std::to_string(call.to.value) +
+            " era=" + std::to_string(call.to.era.value) +
             (call.error ? " error=\"" + call.error.message() + "\"" : ""));
 }
 
@@ -45,6 +46,9 @@
   const Instant now = BootNow();
   if (!update_log_.has_begun()) {
     update_log_.Begin(changes.revision, now);
+    store_era_ = changes.revision.era;
+  } else if (changes.revision.era > store_era_) {
+    BeginEra(changes.revision, now);
   }
   for (const StoreEvent& event : changes.events) {
     const bool changed =
@@ -57,6 +61,15 @@
   next_store_update_at_ = now;
 }
 
+void RoutingDaemon::BeginEra(Revision revision, Instant now) {
+  log_.Warning("store came back with older contents era=" + std::to_string(revision.era.value) +
+               " revision=" + std::to_string(revision.value));
+  store_era_ = revision.era;
+  update_log_ = {};
+  update_log_.Begin(revision, now);
+  update_progress_ = {};
+}
+
 bool RoutingDaemon::ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now) {
   if (formats_.directory.IsConfigKey(item.key)) {
     return ApplyConfig(item, origin);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -35,8 +35,14 @@
 // Converts a store error to an error code.
 std::error_code make_error_code(StoreError error);
 
-// Identifies a lease; the store deletes the keys written under it when it ends. 0 means no lease.
-using LeaseId = Number<struct LeaseTag, std::uint64_t>;
+// Identifies a lease of an era; the store deletes the keys written under it when it ends. The
+// value 0 means no lease. In a new era the value may be given to another lease.
+struct LeaseId {
+  std::uint64_t value = 0;
+  StoreEra era{};
+
+  friend bool operator==(const LeaseId&, const LeaseId&) = default;
+};
 
 // A key with its value.
 struct StoreItem {
@@ -123,17 +129,20 @@
   using CommitCallback = std::function<void(std::error_code, Revision)>;
   using LeaseCallback = std::function<void(std::error_code, LeaseId)>;
 
+  // The latest era in which the store has answered a call; 0 if it has told none.
+  virtual StoreEra era() const = 0;
   // Reads all items.
   virtual void ReadAll(ContentsCallback callback) = 0;
   // Long-polls for changes after a revision; yields no events if none came within the wait.
-  // Fails with kHistoryGone if the store no longer has those changes, and with kTooLarge if the
-  // answer has more bytes than given.
+  // Fails with kHistoryGone if the store no longer has those changes or is in another era, and with
+  // kTooLarge if the answer has more bytes than given.
   virtual void Watch(Revision after, std::chrono::milliseconds wait, std::size_t max_bytes,
                      ChangesCallback callback) = 0;
   // Abandons running reads and watches; their callbacks do not run.
   virtual void AbandonReads() = 0;
   // Applies a transaction; the callback gets its revision. Fails with kConflict if a condition
-  // does not hold.
+  // does not hold. One with conditions or leases of an earlier era fails with kRefused, or, if the
+  // store executed it before the new era was known here, with kNoAnswer.
   virtual void Commit(const StoreTransaction& transaction, CommitCallback callback) = 0;
   // Creates a lease that ends unless it is renewed within its time to live.
   virtual void OpenLease(std::chrono::milliseconds time_to_live, LeaseCallback callback) = 0;
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -86,10 +86,21 @@
   return contents_bytes * kEncodingNumerator / kEncodingDenominator + kWatchAllowanceBytes;
 }
 
-void StoreWatcher::AbandonReplacedCall(Instant now) {
-  const bool replaced = call_pending_ && now - call_sent_at_ > kAbandonDelay && !reload_needed_ &&
-                        HasFreshUpdates(now);
-  if (!replaced) {
+void StoreWatcher::ObserveEra(StoreEra era) {
+  latest_era_ = std::max(latest_era_, era);
+  if (loaded() && IsOfEarlierEra(revision_)) {
+    reload_needed_ = true;
+  }
+}
+
+void StoreWatcher::AbandonUselessCall(Instant now) {
+  if (!call_pending_) {
+    return;
+  }
+  const bool replaced =
+      now - call_sent_at_ > kAbandonDelay && !reload_needed_ && HasFreshUpdates(now);
+  const bool of_earlier_era = loaded() && call_sent_era_ < latest_era_;
+  if (!replaced && !of_earlier_era) {
     return;
   }
   store_.AbandonReads();
@@ -98,13 +109,15 @@
 }
 
 void StoreWatcher::Tick(Instant now) {
-  AbandonReplacedCall(now);
+  ObserveEra(store_.era());
+  AbandonUselessCall(now);
   if (call_pending_ || now < next_call_at_ || (!reload_needed_ && HasFreshUpdates(now))) {
     return;
   }
   call_pending_ = true;
   call_sent_at_ = now;
   call_sent_revision_ = revision_;
+  call_sent_era_ = latest_era_;
   call_reason_ = CallReason(now);
   if (reload_needed_ || now - last_arrival_at_ > kMaxWatchGap) {
     reload_needed_ = true;
@@ -122,6 +135,11 @@
 void StoreWatcher::HandleReadResult(std::error_code error, const Store::Contents& contents) {
   call_pending_ = false;
   ReportCall(StoreStateSource::kRead, error, contents.revision, contents.transfer);
+  ObserveEra(contents.revision.era);
+  if (!error && IsOfEarlierEra(contents.revision)) {
+    next_call_at_ = clock_();
+    return;
+  }
   if (error) {
     RecordFailure(error);
     return;
@@ -139,7 +157,8 @@
 void StoreWatcher::HandleWatchResult(std::error_code error, const Store::Changes& changes) {
   call_pending_ = false;
   ReportCall(StoreStateSource::kWatch, error, changes.revision, changes.transfer);
-  if (error == StoreError::kHistoryGone || error == StoreError::kTooLarge) {
+  const bool outdated = !error && IsOfEarlierEra(changes.revision);
+  if (error == StoreError::kHistoryGone || error == StoreError::kTooLarge || outdated) {
     reload_needed_ = true;
     next_call_at_ = clock_();
     return;
@@ -181,6 +200,9 @@
 void StoreWatcher::ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                                const StoreStateOrigin& origin) {
   const Instant now = clock_();
+  if (revision.era > revision_.era) {
+    values_ = {};
+  }
   values_.DiscardOld(now);
   for (const StoreEvent& each : events) {
     if (each.removed) {
@@ -214,6 +236,10 @@
   if (!loaded()) {
     return;
   }
+  ObserveEra(update.revision.era);
+  if (IsOfEarlierEra(update.revision) || IsOfEarlierEra(revision_)) {
+    return;
+  }
   last_update_at_ = now;
   if (update.base > revision_) {
     RecordGap(update, now);
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -55,7 +55,7 @@
 //
 // Store calls cost money, so only one daemon per domain has to watch. The others rely on the
 // updates that it relays, and call the store themselves while updates are late, outdated or
-// incomplete.
+// incomplete. In a new era of the store each daemon reads all items for itself.
 class StoreWatcher {
  public:
   using Clock = Instant (*)();
@@ -68,6 +68,9 @@
   // Sets whether this daemon watches the store even while it receives updates.
   void SetWatching(bool watching) { watching_ = watching; }
   bool watching() const { return watching_; }
+  // Notes that the store is in an era. If that is later than the known contents, all is read anew:
+  // changes that were known may have been lost.
+  void ObserveEra(StoreEra era);
   // Applies an update relayed by another daemon.
   void ApplyUpdate(const StoreUpdate& update, Instant now);
   // Derives reachability from a store call made elsewhere in this daemon. Ignored unless relayed
@@ -98,6 +101,8 @@
   bool HasFreshUpdates(Instant now) const;
   void HandleReadResult(std::error_code error, const Store::Contents& contents);
   void HandleWatchResult(std::error_code error, const Store::Changes& changes);
+  // Whether a result belongs to an era before the latest one known.
+  bool IsOfEarlierEra(Revision revision) const { return revision.era < latest_era_; }
   // The events that lead from the known items to the contents.
   std::vector<StoreEvent> EventsLeadingTo(const Store::Contents& contents) const;
   // Whether an event of the key at the revision is not known yet.
@@ -107,8 +112,9 @@
   // Passes new events to the observer.
   void ApplyEvents(const std::vector<StoreEvent>& events, Revision revision,
                    const StoreStateOrigin& origin);
-  // Abandons a slow call whose result relayed updates have already delivered.
-  void AbandonReplacedCall(Instant now);
+  // Abandons a slow call whose result relayed updates have already delivered, or that was sent
+  // before the latest era was known.
+  void AbandonUselessCall(Instant now);
   // Why the store is called, for the log.
   const char* CallReason(Instant now) const;
   // The size beyond which an answer to a watch takes longer than a read of everything.
@@ -130,6 +136,9 @@
   bool reload_needed_ = true;
   bool reachable_ = false;
   Revision revision_;
+  // The latest era known, from the store or from other daemons.
+  StoreEra latest_era_;
+  StoreEra call_sent_era_;
   Instant call_sent_at_;
   const char* call_reason_ = "";
   Revision call_sent_revision_;
--- a/tests/fakes/json_answer.cc
+++ b/tests/fakes/json_answer.cc
@@ -7,12 +7,14 @@
 
 namespace sycamorestall::fakes {
 
-void AnswerJson(CallerExchange& exchange, unsigned status, const nlohmann::json& body) {
+void AnswerJson(CallerExchange& exchange, unsigned status, const nlohmann::json& body,
+                const std::string& more_head) {
   OutgoingMessage message;
   message.body = std::make_shared<const std::string>(body.dump());
   message.head = StatusLine(status);
   AppendHeader(message.head, "Content-Type", "application/json");
   AppendHeader(message.head, "Content-Length", std::to_string(message.body->size()));
+  message.head += more_head;
   exchange.Answer(std::move(message));
 }
 
--- a/tests/fakes/json_answer.h
+++ b/tests/fakes/json_answer.h
@@ -8,8 +8,9 @@
 
 namespace sycamorestall::fakes {
 
-// Sends an answer with a JSON body.
-void AnswerJson(CallerExchange& exchange, unsigned status, const nlohmann::json& body);
+// Sends an answer with a JSON body. `more_head` is further lines of the head.
+void AnswerJson(CallerExchange& exchange, unsigned status, const nlohmann::json& body,
+                const std::string& more_head = "");
 
 // Returns a loopback address with a port that is currently free.
 NetworkAddress FindFreeAddress(boost::asio::io_context& context);
--- a/tests/fakes/key_value_store.cc
+++ b/tests/fakes/key_value_store.cc
@@ -78,6 +78,10 @@
   }
 }
 
+void KeyValueStore::Answer(CallerExchange& exchange, unsigned status, const json& body) {
+  AnswerJson(exchange, status, body, "Store-Era: " + std::to_string(era_) + "\r\n");
+}
+
 void KeyValueStore::WriteItem(const std::string& key, const std::string& value,
                               std::uint64_t lease) {
   items_[key] = {value, revision_, lease};
@@ -130,11 +134,32 @@
   ++revision_;
 }
 
+void KeyValueStore::SaveCopy() {
+  const std::lock_guard lock{mutex_};
+  copy_ = {revision_, next_lease_, items_, history_};
+}
+
+void KeyValueStore::RestoreCopy() {
+  const std::lock_guard lock{mutex_};
+  ++era_;
+  revision_ = copy_.revision;
+  next_lease_ = copy_.next_lease;
+  items_ = copy_.items;
+  history_ = copy_.history;
+  leases_.clear();
+  std::erase_if(items_, [](const auto& each) { return each.second.lease != 0; });
+}
+
+std::size_t KeyValueStore::LeaseCount() {
+  const std::lock_guard lock{mutex_};
+  return leases_.size();
+}
+
 void KeyValueStore::HandleRequest(std::shared_ptr<CallerExchange> exchange) {
   const std::lock_guard lock{mutex_};
   const std::string target{exchange->request().target()};
   if (fault_ == StoreFault::kBusy) {
-    AnswerJson(*exchange, 503, {});
+    Answer(*exchange, 503, {});
   } else if (fault_ == StoreFault::kSilent) {
     unanswered_.push_back(std::move(exchange));
   } else if (target.starts_with("/v1/kv-range")) {
@@ -150,9 +175,9 @@
     HandleLeaseRenewal(*exchange, target);
   } else if (target.starts_with("/v1/kv-lease-end/")) {
     leases_[std::stoull(target.substr(target.rfind('/') + 1))].until = Instant{};
-    AnswerJson(*exchange, 200, json::object());
+    Answer(*exchange, 200, json::object());
   } else {
-    AnswerJson(*exchange, 404, {});
+    Answer(*exchange, 404, {});
   }
 }
 
@@ -164,15 +189,15 @@
                      {"revision", item.revision},
                      {"lease", item.lease}});
   }
-  AnswerJson(exchange, 200,
-             {{"items", std::move(items)}, {"has_more", false}, {"store_revision", revision_}});
+  Answer(exchange, 200,
+         {{"items", std::move(items)}, {"has_more", false}, {"store_revision", revision_}});
 }
 
 void KeyValueStore::HandleWatch(std::shared_ptr<CallerExchange> exchange,
                                 const std::string& target) {
   const std::uint64_t after = QueryNumber(target, "after");
-  if (after + 1 < oldest_watchable_revision_) {
-    AnswerJson(*exchange, 410, {});
+  if (after + 1 < oldest_watchable_revision_ || after > revision_) {
+    Answer(*exchange, 410, {});
     return;
   }
   const Instant until = BootNow() + std::chrono::milliseconds{QueryNumber(target, "wait_ms")};
@@ -180,6 +205,10 @@
 }
 
 bool KeyValueStore::AnswerWatchIfDue(const Watch& watch, Instant now) {
+  if (watch.after > revision_) {
+    Answer(*watch.exchange, 410, {});
+    return true;
+  }
   json events = json::array();
   for (const StoreEvent& event : history_) {
     if (event.item.revision.value <= watch.after) {
@@ -196,7 +225,7 @@
   if (events.empty() && now < watch.until) {
     return watch.exchange->abandoned();
   }
-  AnswerJson(*watch.exchange, 200, {{"events", std::move(events)}, {"store_revision", revision_}});
+  Answer(*watch.exchange, 200, {{"events", std::move(events)}, {"store_revision", revision_}});
   return true;
 }
 
@@ -206,7 +235,7 @@
     const auto item = items_.find(row.at("key").get<std::string>());
     const std::uint64_t revision = item == items_.end() ? 0 : item->second.revision;
     if (revision != row.at("revision").get<std::uint64_t>()) {
-      AnswerJson(exchange, 412, {{"items", json::array()}});
+      Answer(exchange, 412, {{"items", json::array()}});
       return;
     }
   }
@@ -217,7 +246,7 @@
               lease);
   }
   if (fault_ != StoreFault::kAnswersLost) {
-    AnswerJson(exchange, 200, {{"revision", revision_}});
+    Answer(exchange, 200, {{"revision", revision_}});
   }
 }
 
@@ -228,17 +257,17 @@
       static_cast<std::int64_t>(seconds * kMillisecondsPerSecond)};
   const std::uint64_t id = next_lease_++;
   leases_[id] = {BootNow() + time_to_live, time_to_live};
-  AnswerJson(exchange, 200, {{"lease", id}, {"ttl_s_time", seconds}});
+  Answer(exchange, 200, {{"lease", id}, {"ttl_s_time", seconds}});
 }
 
 void KeyValueStore::HandleLeaseRenewal(CallerExchange& exchange, const std::string& target) {
   const auto lease = leases_.find(std::stoull(target.substr(target.rfind('/') + 1)));
   if (lease == leases_.end()) {
-    AnswerJson(exchange, 404, {});
+    Answer(exchange, 404, {});
     return;
   }
   lease->second.until = BootNow() + lease->second.time_to_live;
-  AnswerJson(exchange, 200, json::object());
+  Answer(exchange, 200, json::object());
 }
 
 }  // namespace sycamorestall::fakes
--- a/tests/fakes/key_value_store.h
+++ b/tests/fakes/key_value_store.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <thread>
 #include <vector>
@@ -44,6 +45,13 @@
   // Discards the history of changes; watches from older revisions get 410 and must read
   // the items again.
   void CompactHistory();
+  // Keeps a copy of the contents, to which the store can go back.
+  void SaveCopy();
+  // Goes back to the copy and begins a new era: later changes, all leases and their keys are gone,
+  // and the revisions since are given out again.
+  void RestoreCopy();
+  // Leases that were opened and have neither ended nor been lost.
+  std::size_t LeaseCount();
 
   void HandleRequest(std::shared_ptr<CallerExchange> exchange) override;
   CallerLimits Limits() const override;
@@ -65,7 +73,16 @@
     Instant until;
   };
 
+  // What a copy of the store holds.
+  struct Copy {
+    std::uint64_t revision = 1;
+    std::uint64_t next_lease = 1;
+    std::map<std::string, Item> items;
+    std::deque<StoreEvent> history;
+  };
+
   // All but RunEventLoop are called with the mutex held.
+  void Answer(CallerExchange& exchange, unsigned status, const nlohmann::json& body);
   void WriteItem(const std::string& key, const std::string& value, std::uint64_t lease);
   void EraseItem(const std::string& key);
   void HandleRange(CallerExchange& exchange);
@@ -81,6 +98,7 @@
   boost::asio::io_context context_{1};
   NetworkAddress address_;
   std::unique_ptr<CallerListener> listener_;
+  std::uint64_t era_ = 1;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_watchable_revision_ = 1;
   std::uint64_t next_lease_ = 1;
@@ -88,6 +106,7 @@
   std::map<std::uint64_t, Lease> leases_;
   std::deque<StoreEvent> history_;
   std::vector<Watch> watches_;
+  Copy copy_;
   StoreFault fault_ = StoreFault::kNone;
   // Exchanges without an answer, kept so that their connections stay open.
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;
--- a/tests/router/store_watching_test.cc
+++ b/tests/router/store_watching_test.cc
@@ -36,3 +36,26 @@
   deployment.WriteConfig(2, "/later/");
   CHECK(deployment.ServesPumpsWithin(1, "/later/", milliseconds{2000}));
 }
+
+TEST_CASE("a configuration acknowledged after the store came back older takes effect in time") {
+  RouterDeployment deployment{2, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  deployment.store.SaveCopy();
+  deployment.WriteConfig(2, "/lost/");
+  for (const std::size_t daemon : {0, 1}) {
+    REQUIRE(deployment.ServesPumpsWithin(daemon, "/lost/", milliseconds{2000}));
+  }
+  for (int i = 0; i < 40; ++i) {
+    deployment.store.Put("other/" + std::to_string(i), "lost");
+  }
+  std::this_thread::sleep_for(kSettleTime);
+  deployment.store.RestoreCopy();
+  std::this_thread::sleep_for(kSettleTime);
+  for (const std::size_t daemon : {0, 1}) {
+    CHECK(deployment.ServesPumpsWithin(daemon, "/lost/", milliseconds{100}));
+  }
+  deployment.WriteConfig(3, "/later/");
+  for (const std::size_t daemon : {0, 1}) {
+    CHECK(deployment.ServesPumpsWithin(daemon, "/later/", milliseconds{2000}));
+  }
+}
--- a/tests/store/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -9,6 +9,7 @@
 // A store whose reads and watches a test answers explicitly. Other calls are ignored.
 class ScriptedStore : public Store {
  public:
+  StoreEra era() const override { return era_; }
   void ReadAll(ContentsCallback callback) override {
     ++read_count_;
     read_callback_ = std::move(callback);
@@ -36,6 +37,8 @@
   void AnswerWatch(Changes changes, std::error_code error = {}) {
     std::exchange(watch_callback_, nullptr)(error, std::move(changes));
   }
+  // Sets the era that answers to other calls have told.
+  void SetEra(StoreEra era) { era_ = era; }
   // Whether a read or watch waits for its answer.
   bool reading() const { return read_callback_ != nullptr; }
   bool watching() const { return watch_callback_ != nullptr; }
@@ -45,6 +48,7 @@
   std::size_t last_watch_max_bytes() const { return last_watch_max_bytes_; }
 
  private:
+  StoreEra era_;
   int read_count_ = 0;
   int watch_count_ = 0;
   Revision last_watch_revision_;
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -309,3 +309,87 @@
     CHECK(receiver.store.watching() == row.calls_store);
   }
 }
+
+namespace {
+
+StoreEvent MakeEventOfEra(std::uint64_t era, std::uint64_t revision, const std::string& value) {
+  return {{"key", value, {revision, {era}}}, false};
+}
+
+// A daemon that has loaded a value at revision 10 of the first era and watches the store.
+struct WatchingDaemon {
+  WatchingDaemon() {
+    g_now = Instant{} + std::chrono::hours{1};
+    watcher.Tick(g_now);
+    store.AnswerRead({{MakeEventOfEra(1, 10, "lost").item}, {10, {1}}});
+    watcher.Tick(g_now);
+  }
+
+  ScriptedStore store;
+  RecordingObserver observer;
+  StoreWatcher watcher{store, observer, [] { return g_now; }};
+};
+
+}  // namespace
+
+TEST_CASE("the contents of a store that came back older are taken however the daemon learns it") {
+  using LearnEra = void (*)(WatchingDaemon&);
+  struct Row {
+    std::string name;
+    LearnEra learn_era;
+  };
+  const Row rows[] = {
+      {"by its watch",
+       [](WatchingDaemon& daemon) { daemon.store.AnswerWatch({}, StoreError::kHistoryGone); }},
+      {"by the answer to another call",
+       [](WatchingDaemon& daemon) {
+         daemon.store.SetEra({2});
+         g_now += milliseconds{20};
+       }},
+      {"by another daemon", [](WatchingDaemon& daemon) { daemon.watcher.ObserveEra({2}); }},
+      {"by a relayed update",
+       [](WatchingDaemon& daemon) {
+         daemon.watcher.SetWatching(false);
+         StoreUpdate update;
+         update.base = {7, {2}};
+         update.revision = {8, {2}};
+         update.base_assumed = true;
+         daemon.watcher.ApplyUpdate(update, g_now);
+       }},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WatchingDaemon daemon;
+    row.learn_era(daemon);
+    daemon.watcher.Tick(g_now);
+    REQUIRE(daemon.store.reading());
+    daemon.store.AnswerRead({{MakeEventOfEra(2, 5, "older").item}, {7, {2}}});
+    CHECK(daemon.observer.values == std::vector<std::string>{"lost", "older"});
+    CHECK(daemon.watcher.revision() == Revision{7, {2}});
+    daemon.watcher.SetWatching(true);
+    g_now += milliseconds{20};
+    daemon.watcher.Tick(g_now);
+    REQUIRE(daemon.store.watching());
+    daemon.store.AnswerWatch({{MakeEventOfEra(2, 8, "new")}, {8, {2}}});
+    CHECK(daemon.observer.values.back() == "new");
+  }
+}
+
+TEST_CASE("what was sent before the store came back older changes nothing afterwards") {
+  WatchingDaemon daemon;
+  daemon.watcher.ObserveEra({2});
+  daemon.watcher.Tick(g_now);
+  daemon.store.AnswerRead({{MakeEventOfEra(1, 11, "lost too").item}, {11, {1}}});
+  CHECK(daemon.observer.values == std::vector<std::string>{"lost"});
+  daemon.watcher.Tick(g_now);
+  REQUIRE(daemon.store.reading());
+  daemon.store.AnswerRead({{MakeEventOfEra(2, 5, "older").item}, {7, {2}}});
+  StoreUpdate update;
+  update.base = {10, {1}};
+  update.revision = {12, {1}};
+  update.events = {CompressEvent(MakeEventOfEra(1, 12, "lost as well"), nullptr)};
+  daemon.watcher.SetWatching(false);
+  daemon.watcher.ApplyUpdate(update, g_now);
+  CHECK(daemon.observer.values == std::vector<std::string>{"lost", "older"});
+  CHECK(daemon.watcher.revision() == Revision{7, {2}});
+}
