Keep one owner for each key when the store has lost moves

Cause (class: state derived from an acknowledged write that can be lost): the leader took the restored record in place of its own, and reckoned tokens from it; who claimed leadership counted term and token up from it, and granted to the owners it named, which no longer held the keys.

Fix: the record tells the era in which it was written. Without a record of the new era after 3 s another daemon claims leadership, and sends no order until every grant of an earlier leader has run out. Each era adds 2^20 to term and tokens. An outdated token in that time makes the leader wait, as another one may have given the keys on. A record that was removed by the restore is noticed. Peers that are heard count as heard also while they have no lease.

Tests: three rows of "random faults give no key two holders and leave none without a holder afterwards" (the simulated store goes back by up to 12 s, ten times in 100 s, with kills, late writes and cuts beside it).

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -18,6 +18,23 @@
 constexpr std::chrono::milliseconds kWriteRetryDelay{200};
 constexpr std::uint32_t kMaxRetryDoublings = 2;
 
+// The era of a store that has never come back with older contents.
+constexpr StoreEra kFirstEra{1};
+// More than a leader adds to its term or to its highest token between two eras of the store.
+constexpr std::uint64_t kNumbersPerEra = std::uint64_t{1} << 20;
+
+// Whether a record was written after another one, or is the same.
+bool IsAtLeastAsRecent(const OwnershipRecord& record, const OwnershipRecord& other) {
+  if (record.term != other.term) {
+    return record.term > other.term;
+  }
+  if (record.highest_token != other.highest_token) {
+    return record.highest_token > other.highest_token;
+  }
+  // The last write of a term names no leader.
+  return record.leader.empty() || !other.leader.empty();
+}
+
 // The order in which daemons claim leadership: the lowest rank goes first.
 struct CandidateRank {
   double negative_capacity = 0;
@@ -55,6 +72,10 @@
   if (record_known_ && revision <= revision_) {
     return;
   }
+  if (record_known_ && revision.era > revision_.era) {
+    BeginEra(record, revision, now);
+    return;
+  }
   record_known_ = true;
   const bool is_own_write =
       pending_write_ && !record.change_id.empty() && pending_write_->change_id == record.change_id;
@@ -63,8 +84,16 @@
     return;
   }
   const bool superseded = phase_ == Phase::kLeading && record.term > record_.term;
-  record_ = record;
   revision_ = revision;
+  if (phase_ == Phase::kLeading && !superseded) {
+    // A write that was prepared in an earlier era has replaced this leader's record.
+    RestoreRecord(now);
+    return;
+  }
+  record_ = record;
+  if (MayLackChanges() && lost_grants_until_ == Instant{}) {
+    ExpectLostGrants(now);
+  }
   if (superseded || phase_ == Phase::kClaiming) {
     LogDecision("following leader=" + record.leader.value() +
                 " term=" + std::to_string(record.term.value));
@@ -75,6 +104,56 @@
   }
 }
 
+bool KeyLeader::MayLackChanges() const {
+  const bool has_record = record_.term.value != 0;
+  return record_.era < revision_.era && (has_record || revision_.era > kFirstEra);
+}
+
+void KeyLeader::ExpectLostGrants(Instant now) {
+  lost_grants_until_ = now + settings_.grant_authority + MaxGrantDelay() + GrantLifetime();
+}
+
+void KeyLeader::BeginEra(const OwnershipRecord& restored, Revision revision, Instant now) {
+  LogDecision("store came back older era=" + std::to_string(revision.era.value) +
+              " term=" + std::to_string(restored.term.value) +
+              " known_term=" + std::to_string(record_.term.value));
+  const bool superseded = restored.term > record_.term;
+  const bool has_authority = now - confirmed_at_ < settings_.grant_authority;
+  revision_ = revision;
+  leaderless_since_.reset();
+  ExpectLostGrants(now);
+  if (!IsAtLeastAsRecent(record_, restored)) {
+    record_ = restored;
+  }
+  if (phase_ == Phase::kLeading && has_authority && !superseded && !contested_) {
+    RestoreRecord(now);
+  } else if (phase_ != Phase::kFollowing) {
+    BecomeFollower();
+  }
+}
+
+void KeyLeader::RaiseToPresentEra(OwnershipRecord& record) const {
+  if (MayLackChanges() && record.era < revision_.era) {
+    const std::uint64_t eras = revision_.era.value - record.era.value;
+    record.term.value += eras * kNumbersPerEra;
+    record.highest_token.value += eras * kNumbersPerEra;
+  }
+  record.era = revision_.era;
+}
+
+void KeyLeader::RestoreRecord(Instant now) {
+  if (pending_write_) {
+    // The write that has no result yet is repeated on top of the restored record.
+    RaiseToPresentEra(*pending_write_);
+    write_outcome_unknown_ = true;
+    write_retry_at_ = now;
+    return;
+  }
+  OwnershipRecord record = CurrentRecord();
+  RaiseToPresentEra(record);
+  StartWrite(std::move(record));
+}
+
 void KeyLeader::BecomeFollower() {
   phase_ = Phase::kFollowing;
   pending_write_.reset();
@@ -108,6 +187,7 @@
     case RecordWriteOutcome::kConflict:
       // Either an earlier attempt of this write was applied, or another daemon wrote.
       // The record, which follows, tells which.
+      contested_ = true;
       if (phase_ == Phase::kClaiming && !write_outcome_unknown_) {
         phase_ = Phase::kFollowing;
         pending_write_.reset();
@@ -127,6 +207,7 @@
 }
 
 void KeyLeader::ApplyCompletedWrite(Revision revision, Instant now) {
+  contested_ = false;
   record_ = *std::exchange(pending_write_, std::nullopt);
   revision_ = revision;
   record_known_ = true;
@@ -161,6 +242,7 @@
 }
 
 void KeyLeader::Tick(const EndpointFleet& fleet, const StoreView& store, Instant now) {
+  confirmed_at_ = store.confirmed_at;
   if (phase_ != Phase::kFollowing) {
     UpdateAddresses(fleet);
     demand_.Decay(now);
@@ -178,7 +260,8 @@
     StopLeading(store);
     return;
   }
-  if (!MaySendOrders(store, now)) {
+  const bool must_wait = holders_unknown_ && now < lost_grants_until_;
+  if (must_wait || !MaySendOrders(store, now)) {
     return;
   }
   if (ranges_.empty()) {
@@ -282,13 +365,19 @@
   // A leader that is not heard from is replaced before its lease ends, but only by a
   // daemon that hears from most others: one that does not may itself be cut off by a
   // network partition.
-  const bool hears_majority = 2 * (store.heard_peers.size() + 1) > store.daemons.size();
+  const auto registered_heard =
+      std::count_if(store.heard_peers.begin(), store.heard_peers.end(),
+                    [&](const InstanceId& each) { return store.daemons.contains(each); });
+  const bool hears_majority =
+      2 * (static_cast<std::size_t>(registered_heard) + 1) > store.daemons.size();
   const bool leader_is_silent =
       hears_majority && store.heard_peers.size() > 0 && !store.heard_peers.contains(record_.leader);
   const bool leader_may_hold_lease = store.daemons.contains(record_.leader) ||
                                      now - store.reachable_since < settings_.daemon_return_grace;
-  const bool has_leader = !record_.leader.empty() && record_.leader != settings_.self &&
-                          leader_may_hold_lease && !leader_is_silent;
+  // A leader of an earlier era writes its record again, or it has ended.
+  const bool has_leader = !MayLackChanges() && !record_.leader.empty() &&
+                          record_.leader != settings_.self && leader_may_hold_lease &&
+                          !leader_is_silent;
   if (has_leader || (no_record_yet && !list_is_stable)) {
     leaderless_since_.reset();
     return;
@@ -308,7 +397,9 @@
   for (const auto& [id, capacity] : store.daemons) {
     candidates_ahead += rank(id) < own_rank ? 1 : 0;
   }
-  if (now - *leaderless_since_ >= kMinLeaderlessTime + candidates_ahead * kClaimDelayPerRank) {
+  const Duration return_grace = MayLackChanges() ? settings_.record_return_grace : Duration{};
+  if (now - *leaderless_since_ >=
+      kMinLeaderlessTime + return_grace + candidates_ahead * kClaimDelayPerRank) {
     ClaimLeadership(now);
   }
 }
@@ -319,6 +410,8 @@
   leaderless_since_.reset();
   OwnershipRecord record = record_;
   earlier_leader_stepped_down_ = record.leader.empty();
+  holders_unknown_ = MayLackChanges();
+  RaiseToPresentEra(record);
   record.term.value += 1;
   record.leader = settings_.self;
   // Every key gets a higher token. Once a grant of this leader has arrived, grants of
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -22,7 +22,8 @@
  public:
   KeyLeader(KeyLeaderSettings settings, std::unique_ptr<KeyPlacement> placement);
 
-  // Applies the record read from the store; revision 0 means that there is none.
+  // Applies the record read from the store; revision 0 means that there is none. A record that the
+  // store holds in a copy is ignored if a later one is known.
   void ApplyRecord(const OwnershipRecord& record, Revision revision, Instant now);
   // Handles the result of the write with this change id.
   void HandleWriteResult(const std::string& change_id, RecordWriteOutcome outcome,
@@ -52,6 +53,8 @@
 
   // Whether this daemon sends grants, as the leader or as acting leader.
   bool leading() const { return phase_ == Phase::kLeading || phase_ == Phase::kActing; }
+  // The latest record known.
+  const OwnershipRecord& record() const { return record_; }
   Term term() const { return phase_ == Phase::kActing ? handed_over_record_.term : record_.term; }
   // The ranges that have a serving owner, sorted by key. All other keys wait for one.
   std::vector<ServedRange> ServedRanges() const;
@@ -102,6 +105,18 @@
     Instant older_grant_until;
   };
 
+  // Takes the store's record, unless a later one is known, at the begin of an era.
+  void BeginEra(const OwnershipRecord& restored, Revision revision, Instant now);
+  // Notes that the store may have lost changes of the record of earlier eras.
+  void ExpectLostGrants(Instant now);
+  // Whether the store may have lost later changes of the record, which were made in an earlier era
+  // and are not known here.
+  bool MayLackChanges() const;
+  // Marks the record as written in the present era. Its term and tokens exceed all that may have
+  // been given in the changes that the store lost.
+  void RaiseToPresentEra(OwnershipRecord& record) const;
+  // Writes the record of this leader again, as the store has an older one.
+  void RestoreRecord(Instant now);
   // Queues a log message.
   void LogDecision(std::string text);
   // Whether this leader heard from the store recently enough to send grants and
@@ -182,6 +197,16 @@
   bool write_outcome_unknown_ = false;
   std::uint64_t next_change_number_ = 1;
   std::uint64_t next_order_number_ = 1;
+  // When the store last confirmed what is known here, as of the latest tick.
+  Instant confirmed_at_;
+  // Until then endpoints may hold keys by changes of the record that the store lost, as leaders of
+  // an earlier era may have gone on granting them.
+  Instant lost_grants_until_;
+  // Whether this daemon claimed leadership without knowing those changes.
+  bool holders_unknown_ = false;
+  // Whether, since this leader's last write, a conflict or an outdated token has shown that another
+  // daemon may have become the leader.
+  bool contested_ = false;
   Instant claimed_at_;
   // Whether the record named no leader when this daemon claimed leadership.
   bool earlier_leader_stepped_down_ = true;
--- a/src/core/key_leader_actions.h
+++ b/src/core/key_leader_actions.h
@@ -39,6 +39,9 @@
   // How long daemons whose leases expired in a store outage have to return before the
   // leader counts as gone.
   std::chrono::milliseconds daemon_return_grace{1500};
+  // How long the leader of an earlier era of the store has to write its record again before
+  // another daemon claims leadership.
+  std::chrono::milliseconds record_return_grace{3000};
   std::chrono::milliseconds placement_interval{500};
   // The minimum time between two writes that assign keys.
   std::chrono::milliseconds write_interval{80};
@@ -53,7 +56,7 @@
   // Daemons that hold a lease, including this one, with their capacity. Those with the
   // highest capacity claim leadership first.
   std::map<InstanceId, double> daemons;
-  // Other daemons that sent a message recently and reach the store.
+  // Other daemons that sent a message recently and reach the store, also those without a lease.
   std::set<InstanceId> heard_peers;
 };
 
--- a/src/core/key_leader_orders.cc
+++ b/src/core/key_leader_orders.cc
@@ -190,6 +190,15 @@
     LogDecision("token outdated range=" + ToString(state->owned.range) +
                 " endpoint=" + state->owned.owner.value());
     state->target = state->owned.owner;
+    contested_ = true;
+    if (now < lost_grants_until_) {
+      // Another leader, whose record the store lost, may have given the keys to another endpoint.
+      state->phase = RangePhase::kExpiring;
+      state->serving = false;
+      state->held_until = std::max(state->held_until, lost_grants_until_);
+      actions_.emplace_back(RoutesChanged{});
+      return;
+    }
     MarkFree(*state);
     return;
   }
--- a/src/core/ownership_record.h
+++ b/src/core/ownership_record.h
@@ -25,6 +25,9 @@
   Term term;
   // The daemon that grants and moves keys; empty after it has stepped down.
   InstanceId leader;
+  // The era of the store in which the record was written. A store that comes back with an older
+  // copy holds a record of an earlier era than its own.
+  StoreEra era;
   // Identifies this write, so that the leader recognizes it if its answer was lost.
   std::string change_id;
   // No key was granted with a token above this one.
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -66,12 +66,14 @@
   stored_record_.pieces[piece_index] = item.value;
 }
 
-void KeyService::ApplyRecord(Instant now) {
+void KeyService::ApplyRecord(StoreEra era, Instant now) {
   if (!std::exchange(stored_record_changed_, false)) {
     return;
   }
   OwnershipRecord record;
-  if (!stored_record_.head.empty()) {
+  if (stored_record_.head.empty()) {
+    stored_revision_ = {0, era};
+  } else {
     std::string reason;
     const auto decoded = DecodeRecord(stored_record_, reason);
     if (!decoded) {
@@ -83,7 +85,7 @@
   }
   complete_revision_ = stored_revision_;
   leader_.ApplyRecord(record, stored_revision_, now);
-  routes_.ApplyRecord(record);
+  routes_.ApplyRecord(leader_.record());
   ExecuteActions();
 }
 
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -27,12 +27,12 @@
   KeyService(KeyLeaderSettings settings, Store& store, ConnectionPool& pool,
              const OrderFormat& order_format, EndpointObserver& endpoint_observer);
 
-  // Applies a changed store item of the record. The suffix of its key after the service
-  // name is empty for the head and otherwise the number of a piece.
+  // Applies a changed store item of the record; its value is empty if it was removed. The suffix of
+  // its key after the service name is empty for the head and otherwise the number of a piece.
   void ApplyRecordItem(const std::string& key_suffix, const StoreItem& item);
   // Decodes the record after all items of one store update were applied, and passes it
   // to the leader and the routes. Waits for further items if it does not decode.
-  void ApplyRecord(Instant now);
+  void ApplyRecord(StoreEra era, Instant now);
   // Collects the parts of a leader's announcement, and applies it once it is complete.
   void HandleAnnouncementPart(const AnnouncementPart& part, Instant now);
   // Adds requests that another daemon counted.
--- a/src/router/record_codec.cc
+++ b/src/router/record_codec.cc
@@ -66,6 +66,7 @@
   encoded.head = json{{"term", record.term.value},
                       {"leader", record.leader.value()},
                       {"change", record.change_id},
+                      {"era", record.era.value},
                       {"highest", record.highest_token.value},
                       {"pieces", std::move(hashes)}}
                      .dump();
@@ -79,6 +80,8 @@
     record.term = {head.at("term").get<std::uint64_t>()};
     record.leader = InstanceId{head.at("leader").get<std::string>()};
     record.change_id = head.at("change").get<std::string>();
+    // Earlier versions do not write it.
+    record.era = {head.value("era", std::uint64_t{0})};
     record.highest_token = {head.at("highest").get<std::uint64_t>()};
     for (std::size_t i = 0; i < kRecordPieces; ++i) {
       if (head.at("pieces").at(i).get<std::uint64_t>() != HashPiece(encoded.pieces[i])) {
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -218,7 +218,7 @@
   }
   for (const auto& [id, peer] : peer_states_) {
     const bool heard = now - peer.heard_at < kPeerStateTimeToLive && !peer.store_unreachable;
-    if (heard && view.daemons.contains(id)) {
+    if (heard) {
       view.heard_peers.insert(id);
     }
   }
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -68,7 +68,7 @@
   bool ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   bool ApplyEndpoint(const StoreItem& item, Instant now);
   bool ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin);
-  bool RemoveItem(const std::string& key);
+  bool RemoveItem(const StoreItem& item);
   void ApplyRecordItem(const StoreItem& item);
   void ApplyRecords(Instant now);
   void AddKeyServices();
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -52,7 +52,7 @@
   }
   for (const StoreEvent& event : changes.events) {
     const bool changed =
-        event.removed ? RemoveItem(event.item.key) : ApplyItem(event.item, origin, now);
+        event.removed ? RemoveItem(event.item) : ApplyItem(event.item, origin, now);
     if (changed) {
       update_log_.Add(event, now);
     }
@@ -119,11 +119,12 @@
 
 void RoutingDaemon::ApplyRecords(Instant now) {
   for (const auto& [name, service] : key_services_) {
-    service->ApplyRecord(now);
+    service->ApplyRecord(store_era_, now);
   }
 }
 
-bool RoutingDaemon::RemoveItem(const std::string& key) {
+bool RoutingDaemon::RemoveItem(const StoreItem& item) {
+  const std::string& key = item.key;
   if (formats_.directory.IsEndpointKey(key)) {
     const InstanceId id = formats_.directory.EndpointIdFromKey(key);
     log_.Info("endpoint removed id=" + id.value());
@@ -136,7 +137,10 @@
     registry_.RemoveEntry(key);
     return true;
   }
-  record_items_.erase(key);
+  if (key.starts_with(kOwnershipKeyPrefix)) {
+    record_items_.erase(key);
+    ApplyRecordItem(item);
+  }
   return false;
 }
 
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -125,6 +125,11 @@
       {"endpoints crash", {.daemon_kills = 0.2, .endpoint_crashes = 0.4}},
       {"running endpoints missing from the list", {.endpoint_partitions = 0.5, .list_losses = 0.5}},
       {"frozen leaders", {.lease_losses = 0.5, .freezes = 0.5}},
+      {"store comes back older", {.drains = 0.3, .store_restores = 0.1}},
+      {"store comes back older, and daemons are killed",
+       {.writes_late = 0.1, .daemon_kills = 0.2, .drains = 0.3, .store_restores = 0.1}},
+      {"store comes back older, and daemons are partitioned from it",
+       {.store_partitions = 0.2, .drains = 0.3, .lease_losses = 0.2, .store_restores = 0.1}},
       {"all faults", AllFaults()},
   };
   constexpr int kSeeds = 8;
--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -22,6 +22,9 @@
 constexpr int kMaxTransitMs = 400;
 constexpr int kMinLateMs = 2000;
 constexpr int kMaxLateMs = 12000;
+// The most that a restored store has lost.
+constexpr int kMaxLostMs = 12000;
+constexpr int kMaxRestoreOutageMs = 4000;
 // Gaps are measured for one key in this many.
 constexpr KeyNumber kSampleInterval = 64;
 constexpr KeyNumber kSampleCount = kKeyCount / kSampleInterval;
@@ -120,7 +123,8 @@
 }
 
 bool KeySimulation::ApplyWrite(const WriteOwnership& write) {
-  if (write.expected != revision_) {
+  // The store does not know in which era a write was prepared.
+  if (write.expected.value != revision_.value) {
     return false;
   }
   if (write.record.term > record_.term) {
@@ -128,9 +132,28 @@
   }
   record_ = write.record;
   ++revision_.value;
+  stored_records_.push_back({now_ms_, record_, revision_});
   return true;
 }
 
+void KeySimulation::RestoreOlderRecord() {
+  ++report_.restores;
+  const std::int64_t copied_ms = now_ms_ - RandomBelow(kMaxLostMs);
+  StoredRecord copy;
+  while (!stored_records_.empty() && stored_records_.back().written_ms > copied_ms) {
+    stored_records_.pop_back();
+  }
+  if (!stored_records_.empty()) {
+    copy = stored_records_.back();
+  }
+  record_ = copy.record;
+  revision_ = {copy.revision.value, {revision_.era.value + 1}};
+  for (FakeDaemon& each : daemons_) {
+    each.without_lease_until_ms =
+        std::max(each.without_lease_until_ms, now_ms_ + RandomBelow(kSecondMs));
+  }
+}
+
 void KeySimulation::WriteRecord(FakeDaemon& daemon, const WriteOwnership& write) {
   const std::uint64_t start_number = daemon.start_number;
   const auto answer = [this, &daemon, start_number, id = write.record.change_id](
@@ -151,10 +174,15 @@
     return;
   }
   const bool written = ApplyWrite(write);
-  if (RandomBool(faults_.writes_unanswered)) {
+  const bool outdated = write.expected.value != 0 && write.expected.era != revision_.era;
+  if (RandomBool(faults_.writes_unanswered) || (written && outdated)) {
     answer(RecordWriteOutcome::kUnknown, {});
     return;
   }
+  if (outdated) {
+    answer(RecordWriteOutcome::kNotWritten, {});
+    return;
+  }
   answer(written ? RecordWriteOutcome::kWritten : RecordWriteOutcome::kConflict, revision_);
 }
 
@@ -404,6 +432,13 @@
     endpoint.listed = false;
     endpoint.listed_again_at_ms = until_ms;
   }
+  if (faults_.store_restores > 0 && occurs(faults_.store_restores)) {
+    const std::int64_t outage_ms = RandomBelow(kMaxRestoreOutageMs);
+    for (FakeDaemon& each : daemons_) {
+      each.store_partition_until_ms = std::max(each.store_partition_until_ms, now_ms_ + outage_ms);
+    }
+    Schedule(outage_ms, [this] { RestoreOlderRecord(); });
+  }
   if (occurs(faults_.drains)) {
     endpoint.draining = !endpoint.draining;
   }
--- a/tests/core/key_simulation.h
+++ b/tests/core/key_simulation.h
@@ -38,6 +38,8 @@
   double drains = 0;
   double lease_losses = 0;
   double freezes = 0;
+  // Outages after which the store has an older copy of its contents.
+  double store_restores = 0;
 };
 
 // The result of a run.
@@ -50,6 +52,7 @@
   std::uint64_t refused_as_outdated = 0;
   std::uint64_t takeovers = 0;
   std::uint64_t handovers = 0;
+  std::uint64_t restores = 0;
   // The longest time without a holder of any sampled key, measured while the run
   // measures gaps.
   std::int64_t longest_gap_ms = 0;
@@ -118,6 +121,8 @@
   void ExecuteActions(FakeDaemon& daemon);
   void WriteRecord(FakeDaemon& daemon, const WriteOwnership& write);
   bool ApplyWrite(const WriteOwnership& write);
+  // The store goes back to the record of some seconds ago; leases are lost.
+  void RestoreOlderRecord();
   void DeliverGrant(FakeDaemon& daemon, const SendGrant& order);
   void DeliverSlowGrant(FakeDaemon& daemon, const SendGrant& order);
   void DeliverHandOver(FakeDaemon& daemon, const HandOver& hand_over);
@@ -133,7 +138,14 @@
   // For each sampled key, since when it has had no holder; 0 while it has one.
   std::vector<std::int64_t> no_holder_since_ms_;
   OwnershipRecord record_;
-  Revision revision_;
+  Revision revision_{0, {1}};
+  // Every record that the store has had.
+  struct StoredRecord {
+    std::int64_t written_ms = 0;
+    OwnershipRecord record;
+    Revision revision;
+  };
+  std::vector<StoredRecord> stored_records_;
   std::vector<FakeEndpoint> endpoints_;
   std::vector<FakeDaemon> daemons_;
   std::vector<Event> events_;
