Repeat store calls of an outage once another daemon has an answer

Class: waiting out a question after the state that it was asked in has ended.

A daemon whose last call failed and that has seen no other daemon learn anything for 2 s takes its next call for one of an outage. When the gossip of another shows a new revision, that call is given up and sent again. While others go on learning, the store is silent to this daemon alone, or its link is full; such calls keep their full time, and no call is repeated twice.

The new rows of tests/store/store_watcher_test.cc fail without the repetition (`CHECK( 2 == 3 )`) and pass with it. store_tests 23, router_tests 20, platform_tests 7 cases passed. No other test changed.

--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -250,6 +250,12 @@
   const bool is_gossip = !message.loads.empty() || !message.demands.empty();
   if (is_gossip) {
     domains_.RecordDaemonMessage(message.domain, GossipInterval(), now);
+    const auto known = peer_states_.find(message.sender);
+    const bool has_progressed =
+        known == peer_states_.end() || known->second.store_revision != message.store_revision;
+    if (has_progressed && message.store_revision.value != 0) {
+      store_watcher_.RecordPeerProgress(now);
+    }
     peer_states_[message.sender] = {now,
                                     message.domain,
                                     message.stopping,
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -18,6 +18,9 @@
 // A call that updates have made unnecessary is abandoned after this time, as it occupies a
 // congested link.
 constexpr std::chrono::milliseconds kAbandonDelay{1000};
+// If no daemon learned anything from the store for this long and the last call failed, the store
+// probably answers nobody. Endpoints rewrite their entries more often than that.
+constexpr std::chrono::milliseconds kOutageSilence{2000};
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
 // After a longer gap all contents are read, which is less data than all changes since.
@@ -100,14 +103,25 @@
   const bool replaced =
       now - call_sent_at_ > kAbandonDelay && !reload_needed_ && HasFreshUpdates(now);
   const bool of_earlier_era = loaded() && call_sent_era_ < latest_era_;
-  if (!replaced && !of_earlier_era) {
-    return;
+  if (replaced || of_earlier_era) {
+    AbandonCall(now);
+  }
+}
+
+void StoreWatcher::AbandonCall(Instant now) {
+  if (std::exchange(call_pending_, false)) {
+    store_.AbandonReads();
   }
-  store_.AbandonReads();
-  call_pending_ = false;
   next_call_at_ = now;
 }
 
+void StoreWatcher::RecordPeerProgress(Instant now) {
+  peer_progress_at_ = now;
+  if (std::exchange(sent_in_outage_, false)) {
+    AbandonCall(now);
+  }
+}
+
 void StoreWatcher::Tick(Instant now) {
   ObserveEra(store_.era());
   AbandonUselessCall(now);
@@ -119,6 +133,7 @@
   call_sent_revision_ = revision_;
   call_sent_era_ = latest_era_;
   call_reason_ = CallReason(now);
+  sent_in_outage_ = !reachable_ && now - peer_progress_at_ > kOutageSilence;
   if (reload_needed_ || now - last_arrival_at_ > kMaxWatchGap) {
     reload_needed_ = true;
     store_.ReadAll([this](std::error_code error, const Store::Contents& contents) {
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -76,6 +76,9 @@
   // Derives reachability from a store call made elsewhere in this daemon. Ignored unless relayed
   // updates replace the watch.
   void RecordCallResult(std::error_code error);
+  // Notes that another daemon has learned something new from the store. A call that was sent while
+  // no daemon did is then repeated, as it may never be answered.
+  void RecordPeerProgress(Instant now);
 
   // When this daemon sent its latest successful read or watch. Every write up to that moment
   // is known here.
@@ -115,6 +118,8 @@
   // Abandons a slow call whose result relayed updates have already delivered, or that was sent
   // before the latest era was known.
   void AbandonUselessCall(Instant now);
+  // Gives up the pending call, if there is one; the next one may follow at once.
+  void AbandonCall(Instant now);
   // Why the store is called, for the log.
   const char* CallReason(Instant now) const;
   // The size beyond which an answer to a watch takes longer than a read of everything.
@@ -140,6 +145,10 @@
   StoreEra latest_era_;
   StoreEra call_sent_era_;
   Instant call_sent_at_;
+  // When another daemon last learned something new from the store, and whether the latest call was
+  // sent while none did.
+  Instant peer_progress_at_;
+  bool sent_in_outage_ = false;
   const char* call_reason_ = "";
   Revision call_sent_revision_;
   Instant next_call_at_;
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -393,3 +393,50 @@
   CHECK(daemon.observer.values == std::vector<std::string>{"lost", "older"});
   CHECK(daemon.watcher.revision() == Revision{7, {2}});
 }
+
+TEST_CASE("a call that a silent store left unanswered does not delay the first answer after it") {
+  struct Row {
+    const char* name;
+    // When other daemons learn something from the store, and when the call under test is sent, both
+    // since the store fell silent.
+    int peer_progress_ms;
+    int call_sent_ms;
+    bool call_fails_before;
+    bool repeated;
+  };
+  const Row rows[] = {
+      {"sent in the outage, which another daemon sees end", 100, 3000, true, true},
+      {"sent while others learned news, so the store is silent to this daemon alone", 2500, 3000,
+       true, false},
+      {"the first call of the outage", 100, 3000, false, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    UpdateReceiver receiver;
+    receiver.watcher.SetWatching(true);
+    const Instant silent_since = g_now;
+    receiver.Advance(milliseconds{20});
+    REQUIRE(receiver.store.watching());
+    receiver.Advance(milliseconds{row.peer_progress_ms - 20});
+    receiver.watcher.RecordPeerProgress(g_now);
+    CHECK(receiver.store.watch_count() == 1);
+    receiver.Advance(std::chrono::duration_cast<milliseconds>(
+        silent_since + milliseconds{row.call_sent_ms - 100} - g_now));
+    if (row.call_fails_before) {
+      receiver.store.AnswerWatch({}, StoreError::kNoAnswer);
+    }
+    receiver.Advance(milliseconds{200});
+    REQUIRE(receiver.store.watching());
+    const int calls = receiver.store.watch_count();
+    receiver.Advance(milliseconds{600});
+    receiver.watcher.RecordPeerProgress(g_now);
+    receiver.Advance(milliseconds{40});
+    CHECK(receiver.store.watch_count() + receiver.store.read_count() - 1 ==
+          calls + (row.repeated ? 1 : 0));
+    // Once the store has answered another daemon, the new call has its full time.
+    receiver.watcher.RecordPeerProgress(g_now);
+    receiver.Advance(milliseconds{40});
+    CHECK(receiver.store.watch_count() + receiver.store.read_count() - 1 ==
+          calls + (row.repeated ? 1 : 0));
+  }
+}
