Give orders connections and ids of their own, and believe only whole releases

Grants and releases used the idle connections of requests and carried no id, and any 200 counted as the reply, so a late second answer to a request was taken for the completed release of keys whose holder worked on.

Fix: orders use connections of their own, by the peer name orders/ID, and bear ids of 16 digits. An answer with another id is not believed: the order counts as unanswered and the connection is reset.

Open: a late second answer to a grant, without an id, counts as the answer to the next grant on its connection, which is then reckoned from a moment before its arrival.

Test: "a late second answer or one without a handover does not count as a release", 5 rows. The platform test of notices in replies to orders now asks both parsers.

--- a/src/router/formats.h
+++ b/src/router/formats.h
@@ -68,18 +68,31 @@
                                             std::optional<Duration> retry_after) const = 0;
 };
 
-// Formats grants and releases of keys for endpoints and parses their replies.
+// Which order an answer is for.
+enum class AnsweredOrder {
+  kThis,
+  // The answer does not tell.
+  kUnknown,
+  kAnother,
+};
+
+// Formats grants and releases of keys for endpoints and parses their replies. Each order has
+// an id of its own.
 class OrderFormat {
  public:
   virtual ~OrderFormat() = default;
 
   // Formats the request that grants keys or renews their grant.
-  virtual OutgoingMessage FormatGrant(const InstanceId& endpoint, const KeyGrant& grant) const = 0;
+  virtual OutgoingMessage FormatGrant(const std::string& id, const InstanceId& endpoint,
+                                      const KeyGrant& grant) const = 0;
   // Formats the request that makes the endpoint give keys back.
-  virtual OutgoingMessage FormatRelease(const InstanceId& endpoint, KeyRange range,
-                                        FencingToken token) const = 0;
-  // Parses an endpoint's reply to a grant or a release.
-  virtual OrderReply ParseReply(const HttpAnswer& answer) const = 0;
+  virtual OutgoingMessage FormatRelease(const std::string& id, const InstanceId& endpoint,
+                                        KeyRange range, FencingToken token) const = 0;
+  // Tells whether an answer is for the order with the given id.
+  virtual AnsweredOrder IdentifyOrder(const HttpAnswer& answer, const std::string& id) const = 0;
+  // Parse an endpoint's reply to a grant and to a release.
+  virtual OrderReply ParseGrantReply(const HttpAnswer& answer) const = 0;
+  virtual OrderReply ParseReleaseReply(const HttpAnswer& answer) const = 0;
 };
 
 // Recognizes and parses the store items written by operators and endpoints.
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -1,7 +1,9 @@
 #include "router/key_service.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <random>
 #include <utility>
 #include <variant>
 
@@ -35,6 +37,20 @@
                                        : RecordWriteOutcome::kUnknown;
 }
 
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>{}(device);
+}
+
+std::string FormatHexadecimal(std::uint64_t number) {
+  constexpr std::size_t kDigits = 16;
+  std::array<char, kDigits> digits{};
+  constexpr int kBase = 16;
+  const auto end = std::to_chars(digits.begin(), digits.end(), number, kBase).ptr;
+  const std::string text{digits.begin(), end};
+  return std::string(kDigits - text.size(), '0') + text;
+}
+
 }  // namespace
 
 KeyService::KeyService(KeyLeaderSettings settings, Store& store, ConnectionPool& pool,
@@ -44,6 +60,7 @@
       pool_(pool),
       order_format_(order_format),
       endpoint_observer_(endpoint_observer),
+      first_order_id_(RandomNumber()),
       leader_(std::move(settings), std::make_unique<DensePiecePlacement>()) {}
 
 void KeyService::ApplyRecordItem(const std::string& key_suffix, const StoreItem& item) {
@@ -164,15 +181,17 @@
 }
 
 void KeyService::Execute(const SendGrant& action) {
-  SendOrder(action.order, "grant range=" + ToString(action.grant.range), action.endpoint,
-            action.address, order_format_.FormatGrant(action.endpoint, action.grant),
+  const std::string id = OrderId(action.order);
+  SendOrder({action.order, id, false, action.endpoint, action.grant.range, BootNow()},
+            action.address, order_format_.FormatGrant(id, action.endpoint, action.grant),
             settings_.grant_timeout);
 }
 
 void KeyService::Execute(const SendRelease& action) {
-  SendOrder(
-      action.order, "release range=" + ToString(action.range), action.endpoint, action.address,
-      order_format_.FormatRelease(action.endpoint, action.range, action.token), kReleaseTimeout);
+  const std::string id = OrderId(action.order);
+  SendOrder({action.order, id, true, action.endpoint, action.range, BootNow()}, action.address,
+            order_format_.FormatRelease(id, action.endpoint, action.range, action.token),
+            kReleaseTimeout);
 }
 
 void KeyService::Execute(const HandOver& action) {
@@ -199,38 +218,63 @@
   log_.Info("service=" + settings_.service.value() + " " + action.text);
 }
 
-void KeyService::SendOrder(std::uint64_t order, const std::string& description,
-                           const InstanceId& endpoint, const NetworkAddress& address,
-                           OutgoingMessage message, std::chrono::milliseconds timeout) {
-  const Instant now = BootNow();
+std::string KeyService::OrderId(std::uint64_t order) const {
+  return FormatHexadecimal(first_order_id_ + order);
+}
+
+void KeyService::SendOrder(SentOrder order, const NetworkAddress& address, OutgoingMessage message,
+                           std::chrono::milliseconds timeout) {
   OutgoingCall call;
   call.message = std::move(message);
   call.connect_timeout = kOrderConnectTimeout;
-  call.deadline = now + timeout;
-  const SentOrder sent{order, endpoint, description + " endpoint=" + endpoint.value(), now};
-  pool_.Call(endpoint.value(), address, std::move(call), now,
-             [this, sent](const CallResult& result) { HandleOrderResult(sent, result); });
+  call.deadline = order.sent_at + timeout;
+  const auto sent = std::make_shared<SentOrder>(std::move(order));
+  // Orders share no connection with requests, whose late answers would be taken for theirs.
+  sent->connection =
+      pool_.Call("orders/" + sent->endpoint.value(), address, std::move(call), sent->sent_at,
+                 [this, sent](const CallResult& result) { HandleOrderResult(*sent, result); });
 }
 
 void KeyService::HandleOrderResult(const SentOrder& order, const CallResult& result) {
   const Instant now = BootNow();
   LogOrderResult(order, result, now);
+  std::optional<OrderReply> reply;
   if (result.outcome == CallOutcome::kAnswered) {
-    const OrderReply reply = order_format_.ParseReply(result.answer);
-    endpoint_observer_.HandleNotice(order.endpoint, reply.notice, order.sent_at, now);
-    leader_.HandleOrderReply(order.order, reply, now);
+    reply = ReplyFromAnswer(order, result.answer);
+  }
+  if (reply) {
+    endpoint_observer_.HandleNotice(order.endpoint, reply->notice, order.sent_at, now);
+    leader_.HandleOrderReply(order.order, *reply, now);
   } else {
     leader_.HandleOrderFailure(order.order, !NothingWasSent(result.outcome), now);
   }
   ExecuteActions();
 }
 
+std::optional<OrderReply> KeyService::ReplyFromAnswer(const SentOrder& order,
+                                                      const HttpAnswer& answer) const {
+  const AnsweredOrder answered = order_format_.IdentifyOrder(answer, order.id);
+  const bool may_repeat_release = answered == AnsweredOrder::kUnknown && order.is_release;
+  if (may_repeat_release || answered == AnsweredOrder::kAnother) {
+    // A second answer that comes late must not meet the next order.
+    ConnectionPool::Cancel(order.connection);
+  }
+  if (answered == AnsweredOrder::kAnother) {
+    log_.Warning("answer of another order service=" + settings_.service.value() +
+                 " order=" + std::to_string(order.order) + " endpoint=" + order.endpoint.value());
+    return std::nullopt;
+  }
+  return order.is_release ? order_format_.ParseReleaseReply(answer)
+                          : order_format_.ParseGrantReply(answer);
+}
+
 void KeyService::LogOrderResult(const SentOrder& order, const CallResult& result,
                                 Instant now) const {
   const Duration taken = now - order.sent_at;
-  const std::string details = " service=" + settings_.service.value() +
-                              " order=" + std::to_string(order.order) + " " + order.description +
-                              " after_ms=" + FormatMilliseconds(taken);
+  const std::string details =
+      " service=" + settings_.service.value() + " order=" + std::to_string(order.order) +
+      (order.is_release ? " release" : " grant") + " range=" + ToString(order.range) +
+      " endpoint=" + order.endpoint.value() + " after_ms=" + FormatMilliseconds(taken);
   if (result.outcome != CallOutcome::kAnswered) {
     log_.Warning("order not answered" + details + " reason=" + result.reason);
   } else if (taken > kSlowOrderTime) {
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -80,18 +80,25 @@
   void ExecuteActions();
   KeyAnnouncement BuildAnnouncement(std::size_t interval_factor, Instant now);
   std::vector<AnnouncementPart> SplitIntoParts(const KeyAnnouncement& announcement) const;
-  // What is known of an order when its result comes.
+  // An order that waits for its result.
   struct SentOrder {
     std::uint64_t order = 0;
+    // The id in the message.
+    std::string id;
+    bool is_release = false;
     InstanceId endpoint;
-    std::string description;
+    KeyRange range;
     Instant sent_at;
+    ConnectionPool::CallHandle connection = {};
   };
 
-  void SendOrder(std::uint64_t order, const std::string& description, const InstanceId& endpoint,
-                 const NetworkAddress& address, OutgoingMessage message,
+  // The id of an order in its message; no other order or request has it.
+  std::string OrderId(std::uint64_t order) const;
+  void SendOrder(SentOrder order, const NetworkAddress& address, OutgoingMessage message,
                  std::chrono::milliseconds timeout);
   void HandleOrderResult(const SentOrder& order, const CallResult& result);
+  // Returns the answer's reply; empty if the answer is for another order.
+  std::optional<OrderReply> ReplyFromAnswer(const SentOrder& order, const HttpAnswer& answer) const;
   void LogOrderResult(const SentOrder& order, const CallResult& result, Instant now) const;
 
   const KeyLeaderSettings settings_;
@@ -99,6 +106,8 @@
   ConnectionPool& pool_;
   const OrderFormat& order_format_;
   EndpointObserver& endpoint_observer_;
+  // The ids of orders count up from here.
+  const std::uint64_t first_order_id_;
   KeyLeader leader_;
   KeyRoutes routes_;
   UnservedKeys unserved_;
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -189,13 +189,16 @@
     answer.set(row.header, row.value);
     CHECK(platform::ParseEndpointNotice(answer).draining == row.draining);
     CHECK(platform::PlatformRequestFormat{}.ParseNotice(answer).draining == row.draining);
-    CHECK(platform::PlatformOrderFormat{}.ParseReply(answer).notice.draining == row.draining);
+    const platform::PlatformOrderFormat orders;
+    CHECK(orders.ParseGrantReply(answer).notice.draining == row.draining);
+    CHECK(orders.ParseReleaseReply(answer).notice.draining == row.draining);
   }
   // Another endpoint at the address says nothing about the one that the order was meant for.
   HttpAnswer misdirected;
   misdirected.result(421);
   misdirected.set("Server-Leaving", "1");
-  CHECK_FALSE(platform::PlatformOrderFormat{}.ParseReply(misdirected).notice.draining);
+  CHECK_FALSE(platform::PlatformOrderFormat{}.ParseGrantReply(misdirected).notice.draining);
+  CHECK_FALSE(platform::PlatformOrderFormat{}.ParseReleaseReply(misdirected).notice.draining);
 }
 
 TEST_CASE("a time to retry that is malformed or absurd does not shut an endpoint out") {
--- /dev/null
+++ b/tests/router/key_service_test.cc
@@ -0,0 +1,165 @@
+#include "router/key_service.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clock/system_clock.h"
+#include "core/endpoint_fleet.h"
+#include "platform/order_format.h"
+#include "router/repeating_endpoint.h"
+#include "store/scripted_store.h"
+
+using namespace sycamorestall;           // NOLINT
+using namespace sycamorestall::testing;  // NOLINT
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTimeToLive{1000};
+
+// A store that accepts every write.
+class AcceptingStore : public ScriptedStore {
+ public:
+  void Commit(const StoreTransaction& /*transaction*/, CommitCallback callback) override {
+    callbacks_.push_back(std::move(callback));
+  }
+  void AnswerCommits() {
+    for (const CommitCallback& callback : std::exchange(callbacks_, {})) {
+      ++revision_.value;
+      callback({}, revision_);
+    }
+  }
+
+ private:
+  Revision revision_;
+  std::vector<CommitCallback> callbacks_;
+};
+
+// An observer that ignores what endpoints say about themselves.
+class IgnoringObserver : public EndpointObserver {
+ public:
+  void HandleNotice(const InstanceId& /*endpoint*/, const EndpointNotice& /*notice*/,
+                    Instant /*sent_at*/, Instant /*now*/) override {}
+};
+
+// A daemon that leads the keys of one service with two endpoints.
+class KeyServiceSetup {
+ public:
+  explicit KeyServiceSetup(RepeatingEndpoint::Behavior first_behavior)
+      : first(context_, first_behavior), second(context_, {}) {
+    view_.reachable = true;
+    view_.reachable_since = BootNow();
+    view_.daemons[Settings().self] = 1;
+    PutEndpoints(false);
+  }
+
+  // Lists both endpoints; the first one is draining or not.
+  void PutEndpoints(bool draining) {
+    fleet_.Put(Entry("first", first.address(), draining), BootNow());
+    fleet_.Put(Entry("second", second.address(), false), BootNow());
+  }
+  // Runs the daemon until the condition holds, for 5 s at most; returns whether it does.
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    for (const Instant end = BootNow() + std::chrono::seconds{5}; BootNow() < end;) {
+      view_.confirmed_at = BootNow();
+      service_.Tick(fleet_, view_, BootNow());
+      store_.AnswerCommits();
+      pool_.CheckTimeouts(BootNow());
+      context_.restart();
+      context_.run_for(milliseconds{2});
+      if (condition()) {
+        return true;
+      }
+    }
+    return false;
+  }
+  // Sends a request to the first endpoint, as a relay does, and waits for its answer.
+  bool SendRequest() {
+    OutgoingCall call;
+    call.message.head = "GET /work HTTP/1.1\r\nHost: first\r\nX-Request-Id: r\r\n\r\n";
+    call.connect_timeout = milliseconds{400};
+    call.deadline = BootNow() + std::chrono::seconds{1};
+    bool answered = false;
+    pool_.Call("first", first.address(), std::move(call), BootNow(),
+               [&answered](const CallResult& result) {
+                 answered = result.outcome == CallOutcome::kAnswered;
+               });
+    return RunUntil([&answered] { return answered; });
+  }
+
+ private:
+  static KeyLeaderSettings Settings() {
+    KeyLeaderSettings settings;
+    settings.service = ServiceName{"soil"};
+    settings.self = InstanceId{"daemon"};
+    settings.time_to_live = kTimeToLive;
+    settings.renew_interval = milliseconds{200};
+    settings.initial_list_settle_time = milliseconds{50};
+    return settings;
+  }
+  static EndpointEntry Entry(const std::string& id, const NetworkAddress& address, bool draining) {
+    EndpointEntry entry;
+    entry.id = InstanceId{id};
+    entry.service = Settings().service;
+    entry.address = address;
+    entry.slots = 4;
+    entry.draining = draining;
+    entry.incarnation = {1};
+    return entry;
+  }
+
+  boost::asio::io_context context_{1};
+  ConnectionPool pool_{context_};
+  AcceptingStore store_;
+  const platform::PlatformOrderFormat format_;
+  EndpointFleet fleet_;
+  StoreView view_;
+  IgnoringObserver observer_;
+  KeyService service_{Settings(), store_, pool_, format_, observer_};
+
+ public:
+  RepeatingEndpoint first;
+  RepeatingEndpoint second;
+};
+
+}  // namespace
+
+TEST_CASE("a late second answer or one without a handover does not count as a release") {
+  struct Row {
+    const char* name;
+    RepeatingEndpoint::Behavior behavior;
+  };
+  const Row rows[] = {
+      {"every answer once", {}},
+      {"request answered twice", {.repeats_requests = true}},
+      {"orders answered twice", {.repeats_orders = true}},
+      {"orders answered twice, each with a handover and the id",
+       {.repeats_orders = true, .grants_carry_handover = true, .echoes_order_ids = true}},
+      {"release answered without a handover", {.ignores_releases = true}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    KeyServiceSetup setup{row.behavior};
+    // Both are renewed, so their first grants are confirmed.
+    REQUIRE(setup.RunUntil(
+        [&] { return setup.first.grants_received() > 2 && setup.second.grants_received() > 2; }));
+    REQUIRE(setup.SendRequest());
+    const std::vector<KeyRange> held = setup.first.granted_ranges();
+    setup.PutEndpoints(true);
+
+    CHECK(setup.RunUntil([&] {
+      return std::any_of(held.begin(), held.end(),
+                         [&](const KeyRange& each) { return setup.second.WasGranted(each.first); });
+    }));
+    const Duration too_early = setup.first.HoldsUntil(kTimeToLive) - BootNow();
+    CHECK(std::chrono::duration_cast<milliseconds>(too_early).count() <= 0);
+  }
+}
