Send no call over a connection on which bytes wait

A call could be answered by bytes that had arrived before it was sent: the answer to an earlier call once more, or what is no answer. Requests to endpoints failed by it, and a call of the store, which bears no id, took it for its own answer.

Cause: an idle connection is closed when the event loop reads something on it, but what waited in the socket, not yet read, counted for nothing when the connection was chosen.

Fix: the pool asks the socket before a call (a read that does not wait and leaves the bytes there), resets a connection with bytes or an end waiting, and takes another. What came before the request was sent cannot be its answer.

--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -25,6 +25,20 @@
   return idle_time < (timeout ? *timeout - kIdleMargin : Duration{kDefaultIdleTimeout});
 }
 
+std::shared_ptr<HttpConnection> ConnectionPool::FindIdleConnection(
+    const std::vector<std::shared_ptr<HttpConnection>>& connections, const OutgoingCall& call,
+    Instant now) {
+  std::shared_ptr<HttpConnection> selected;
+  for (const auto& connection : connections) {
+    const bool usable = !call.fresh_connection && connection->idle() &&
+                        IsReusable(*connection, now) && !connection->HasCarried(call.request_id);
+    if (usable && (!selected || connection->idle_since() > selected->idle_since())) {
+      selected = connection;
+    }
+  }
+  return selected;
+}
+
 ConnectionPool::CallHandle ConnectionPool::Call(const std::string& peer,
                                                 const NetworkAddress& address, OutgoingCall call,
                                                 Instant now, HttpConnection::Callback callback) {
@@ -34,13 +48,11 @@
     peers_[peer].address = address;
   }
   std::vector<std::shared_ptr<HttpConnection>>& connections = peers_[peer].connections;
-  std::shared_ptr<HttpConnection> selected;
-  for (const auto& connection : connections) {
-    const bool usable = !call.fresh_connection && connection->idle() &&
-                        IsReusable(*connection, now) && !connection->HasCarried(call.request_id);
-    if (usable && (!selected || connection->idle_since() > selected->idle_since())) {
-      selected = connection;
-    }
+  std::shared_ptr<HttpConnection> selected = FindIdleConnection(connections, call, now);
+  // What arrived before the request was sent cannot be its answer.
+  while (selected && selected->HasUnreadInput()) {
+    selected->Reset();
+    selected = FindIdleConnection(connections, call, now);
   }
   if (!selected) {
     ++opened_connections_;
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -40,6 +40,10 @@
     std::vector<std::shared_ptr<HttpConnection>> connections;
   };
 
+  // The idle connection of a peer that is best for a call; null if there is none.
+  static std::shared_ptr<HttpConnection> FindIdleConnection(
+      const std::vector<std::shared_ptr<HttpConnection>>& connections, const OutgoingCall& call,
+      Instant now);
   // Whether an idle connection may carry further calls: the peer probably still keeps it open, and
   // it has not carried too many.
   static bool IsReusable(const HttpConnection& connection, Instant now);
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,8 +1,11 @@
 #include "net/http_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -316,6 +319,12 @@
   CompleteCall(std::move(result));
 }
 
+bool HttpConnection::HasUnreadInput() {
+  char byte = 0;
+  const auto size = ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpConnection::CheckTimeouts(Instant now) {
   if (phase_ == Phase::kConnecting && now > connect_deadline_) {
     FailCall(CallOutcome::kConnectTimedOut, "connecting took too long");
--- a/tests/fakes/scripted_server.cc
+++ b/tests/fakes/scripted_server.cc
@@ -114,6 +114,10 @@
     }
     earlier_id = FindHeaderValue(head, "X-Request-Id");
     asio::write(socket, asio::buffer(InsertId(script_.bytes, *earlier_id)), error);
+    if (!script_.trailing_bytes.empty()) {
+      std::this_thread::sleep_for(script_.service_time);
+      asio::write(socket, asio::buffer(InsertId(script_.trailing_bytes, *earlier_id)), error);
+    }
     if (!script_.repeated_bytes.empty()) {
       SendRepeatedBytes(socket);
       return;
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -29,6 +29,8 @@
   // A second answer to the request before on the connection, sent where the answer to the next
   // request is expected; unless empty.
   std::string late_bytes = {};
+  // Sent after the answer, a service time later; unless empty.
+  std::string trailing_bytes = {};
   // How long each request takes until the first of its bytes, and again between the late bytes and
   // the answer.
   std::chrono::milliseconds service_time{0};
--- a/tests/net/http_connection_test.cc
+++ b/tests/net/http_connection_test.cc
@@ -285,6 +285,41 @@
   CHECK(client.pool().opened_connections() == 3);
 }
 
+TEST_CASE("bytes that arrive between two calls are not taken for an answer to the later one") {
+  struct Row {
+    std::string name;
+    std::string trailing_bytes;
+  };
+  const Row rows[] = {
+      {"the answer again", kOwnAnswer},
+      {"an answer of no one", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+      {"a refusal without id",
+       "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+      {"bytes that are no answer", "garbage"},
+      {"part of an answer", "HTTP/1.1 503 S"},
+  };
+  for (const Row& row : rows) {
+    for (const bool judged : {false, true}) {
+      CAPTURE(row.name);
+      CAPTURE(judged);
+      Script script{kOwnAnswer};
+      script.trailing_bytes = row.trailing_bytes;
+      script.service_time = std::chrono::milliseconds{5};
+      ScriptedServer server{script};
+      JudgingClient client;
+      for (const std::string id : {"id1", "id2", "id3"}) {
+        CAPTURE(id);
+        const CallResult result =
+            judged ? client.Judge(server.address(), id) : client.Call(server.address(), id);
+        CHECK(IsOwnAnswer(result, id));
+        // The event loop does not run meanwhile, so that the bytes wait in the socket.
+        std::this_thread::sleep_for(std::chrono::milliseconds{50});
+      }
+      CHECK(client.pool().opened_connections() == 3);
+    }
+  }
+}
+
 TEST_CASE("an answer larger than the call accepts ends the call at once") {
   struct Row {
     std::string name;
