--- a/tests/fakes/scripted_server.cc
+++ b/tests/fakes/scripted_server.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -25,6 +26,18 @@
   return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
+std::size_t NumberAtEndOfPath(const std::string& head) {
+  const std::string path = head.substr(0, head.find(" HTTP/"));
+  return std::stoul(path.substr(path.rfind('/') + 1));
+}
+
+// Resets the connection, though a duplicate of its handle stays open.
+void Reset(asio::ip::tcp::socket& socket) {
+  sockaddr unspecified{};
+  unspecified.sa_family = AF_UNSPEC;
+  static_cast<void>(::connect(socket.native_handle(), &unspecified, sizeof unspecified));
+}
+
 std::string InsertId(std::string bytes, const std::string& id) {
   constexpr std::string_view kMark = "@ID@";
   for (std::size_t at = bytes.find(kMark); at != std::string::npos; at = bytes.find(kMark, at)) {
@@ -96,6 +109,7 @@
     }
     const std::string head(static_cast<const char*>(buffer.data().data()), head_size);
     buffer.consume(head_size);
+    ++requests_;
     const std::string content_length = FindHeaderValue(head, "Content-Length");
     if (!script_.answers_before_body && !content_length.empty()) {
       const std::size_t body_size = std::stoul(content_length);
@@ -113,7 +127,11 @@
       std::this_thread::sleep_for(script_.service_time);
     }
     earlier_id = FindHeaderValue(head, "X-Request-Id");
-    asio::write(socket, asio::buffer(InsertId(script_.bytes, *earlier_id)), error);
+    std::string bytes = InsertId(script_.bytes, *earlier_id);
+    if (script_.cuts_answers) {
+      bytes.resize(std::min(bytes.size(), NumberAtEndOfPath(head)));
+    }
+    asio::write(socket, asio::buffer(bytes), error);
     if (!script_.trailing_bytes.empty()) {
       std::this_thread::sleep_for(script_.service_time);
       asio::write(socket, asio::buffer(InsertId(script_.trailing_bytes, *earlier_id)), error);
@@ -122,6 +140,10 @@
       SendRepeatedBytes(socket);
       return;
     }
+    if (script_.end == ScriptEnd::kReset) {
+      Reset(socket);
+      return;
+    }
     if (script_.end != ScriptEnd::kKeep) {
       socket.shutdown(asio::socket_base::shutdown_both, error);
       socket.close(error);
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -12,8 +12,8 @@
 
 namespace sycamorestall::fakes {
 
-// Whether a scripted server keeps or closes a connection after an answer.
-enum class ScriptEnd { kKeep, kClose };
+// Whether a scripted server keeps, closes or resets a connection after an answer.
+enum class ScriptEnd { kKeep, kClose, kReset };
 
 // Answer of a scripted server to every request: arbitrary bytes, in which each @ID@ is replaced
 // by the request's id.
@@ -31,6 +31,8 @@
   std::string late_bytes = {};
   // Sent after the answer, a service time later; unless empty.
   std::string trailing_bytes = {};
+  // Whether only so many bytes of the answer are sent as the last part of the request's path says.
+  bool cuts_answers = false;
   // How long each request takes until the first of its bytes, and again between the late bytes and
   // the answer.
   std::chrono::milliseconds service_time{0};
@@ -47,6 +49,8 @@
   NetworkAddress address() const;
   // Number of connections that send repeated bytes now.
   int endless_connections() const { return endless_connections_; }
+  // Number of requests received.
+  int requests() const { return requests_; }
 
  private:
   void AcceptConnections();
@@ -56,6 +60,7 @@
 
   const Script script_;
   std::atomic<int> endless_connections_{0};
+  std::atomic<int> requests_{0};
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<std::thread> connections_;
