Keep endpoints out that an older copy of the store brings back

Cause (class: a copy of the state taken for its latest): entries of the copy were applied like new ones, and those that it lacks like removals.

Fix: EndpointHistory remembers of each endpoint the latest incarnation, and whether it was draining or removed. Draining is final for an incarnation; a removed or an earlier incarnation is not taken from the first contents of an era. An endpoint that these lack is removed after 2 s, unless its entry is written again.

--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -183,6 +183,7 @@
   }
   store_watcher_.SetWatching(watches_for_domain_ || LeadsAnyService());
   store_watcher_.Tick(now);
+  RemoveMissingEndpoints(now);
   SendStoreUpdates(now);
   registry_.Tick(now);
   if (now >= next_key_tick_at_) {
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "config/router_settings.h"
+#include "core/endpoint_history.h"
 #include "net/caller_listener.h"
 #include "router/daemon_registry.h"
 #include "router/daemon_transport.h"
@@ -66,9 +67,12 @@
   // Apply store items; return whether the item has to be relayed to the other daemons of the
   // domain.
   bool ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
-  bool ApplyEndpoint(const StoreItem& item, Instant now);
+  bool ApplyEndpoint(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   bool ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin);
-  bool RemoveItem(const StoreItem& item);
+  bool RemoveItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
+  void RemoveEndpoint(const InstanceId& id, Instant now);
+  // Removes the endpoints that have not returned since the store lost their entries.
+  void RemoveMissingEndpoints(Instant now);
   void ApplyRecordItem(const StoreItem& item);
   void ApplyRecords(Instant now);
   void AddKeyServices();
@@ -127,6 +131,9 @@
   DaemonRegistry registry_;
   DaemonTransport transport_;
   EndpointFleet fleet_;
+  EndpointHistory endpoint_history_;
+  // Endpoints whose entries the store lost, and when they count as gone.
+  std::map<InstanceId, Instant> missing_endpoints_;
   DomainReachability domains_;
   LeastLatencyChooser chooser_;
   SlidingWindowRetryBudget retry_budget_;
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -13,6 +13,9 @@
 // Calls of a daemon that watches the store are logged if they take longer than this.
 constexpr std::chrono::milliseconds kSlowStoreCall{1500};
 
+// How long endpoints whose entries the store lost have to write them again.
+constexpr std::chrono::milliseconds kEndpointReturnTime{2000};
+
 std::string FormatTransfer(const StoreTransfer& transfer) {
   return " bytes=" + std::to_string(transfer.bytes) +
          " transfer_ms=" + FormatMilliseconds(transfer.time);
@@ -52,7 +55,7 @@
   }
   for (const StoreEvent& event : changes.events) {
     const bool changed =
-        event.removed ? RemoveItem(event.item) : ApplyItem(event.item, origin, now);
+        event.removed ? RemoveItem(event.item, origin, now) : ApplyItem(event.item, origin, now);
     if (changed) {
       update_log_.Add(event, now);
     }
@@ -75,7 +78,7 @@
     return ApplyConfig(item, origin);
   }
   if (formats_.directory.IsEndpointKey(item.key)) {
-    return ApplyEndpoint(item, now);
+    return ApplyEndpoint(item, origin, now);
   }
   if (item.key.starts_with(kDaemonKeyPrefix)) {
     registry_.AddEntry(item);
@@ -86,13 +89,20 @@
   return true;
 }
 
-bool RoutingDaemon::ApplyEndpoint(const StoreItem& item, Instant now) {
+bool RoutingDaemon::ApplyEndpoint(const StoreItem& item, const StoreStateOrigin& origin,
+                                  Instant now) {
   std::string reason;
   const auto entry = formats_.directory.ParseEndpoint(item, reason);
   if (!entry) {
     log_.Warning("malformed endpoint entry key=" + item.key + " reason=" + reason);
     return false;
   }
+  if (endpoint_history_.IsOutdated(*entry, origin.restored)) {
+    log_.Info("outdated endpoint entry ignored id=" + entry->id.value());
+    return false;
+  }
+  missing_endpoints_.erase(entry->id);
+  endpoint_history_.RecordEntry(*entry);
   const EndpointState* known = fleet_.Find(entry->id);
   // Endpoints rewrite their entries periodically without changes.
   if (known != nullptr && known->entry.EqualsIgnoringWarmUp(*entry)) {
@@ -123,13 +133,34 @@
   }
 }
 
-bool RoutingDaemon::RemoveItem(const StoreItem& item) {
+void RoutingDaemon::RemoveEndpoint(const InstanceId& id, Instant now) {
+  log_.Info("endpoint removed id=" + id.value());
+  fleet_.Remove(id, now);
+  pool_.CloseIdleConnections(id.value());
+}
+
+void RoutingDaemon::RemoveMissingEndpoints(Instant now) {
+  for (auto each = missing_endpoints_.begin(); each != missing_endpoints_.end();) {
+    if (now < each->second) {
+      ++each;
+      continue;
+    }
+    RemoveEndpoint(each->first, now);
+    each = missing_endpoints_.erase(each);
+  }
+}
+
+bool RoutingDaemon::RemoveItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now) {
   const std::string& key = item.key;
   if (formats_.directory.IsEndpointKey(key)) {
     const InstanceId id = formats_.directory.EndpointIdFromKey(key);
-    log_.Info("endpoint removed id=" + id.value());
-    fleet_.Remove(id, BootNow());
-    pool_.CloseIdleConnections(id.value());
+    if (origin.restored) {
+      missing_endpoints_.emplace(id, now + kEndpointReturnTime);
+      return false;
+    }
+    endpoint_history_.RecordRemoval(id, now);
+    missing_endpoints_.erase(id);
+    RemoveEndpoint(id, now);
     return true;
   }
   if (key.starts_with(kDaemonKeyPrefix)) {
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -165,8 +165,9 @@
     // More recent updates arrived while the read was running.
     return;
   }
+  const bool restored = loaded() && contents.revision.era > revision_.era;
   ApplyEvents(EventsLeadingTo(contents), contents.revision,
-              {StoreStateSource::kRead, clock_() - call_sent_at_, contents.transfer});
+              {StoreStateSource::kRead, clock_() - call_sent_at_, contents.transfer, restored});
 }
 
 void StoreWatcher::HandleWatchResult(std::error_code error, const Store::Changes& changes) {
@@ -190,7 +191,7 @@
   std::copy_if(changes.events.begin(), changes.events.end(), std::back_inserter(events),
                [this](const StoreEvent& each) { return IsNew(each.item.key, each.item.revision); });
   ApplyEvents(events, changes.revision,
-              {StoreStateSource::kWatch, clock_() - call_sent_at_, changes.transfer});
+              {StoreStateSource::kWatch, clock_() - call_sent_at_, changes.transfer, false});
 }
 
 std::vector<StoreEvent> StoreWatcher::EventsLeadingTo(const Store::Contents& contents) const {
@@ -280,8 +281,9 @@
   last_answer_at_ =
       std::max(last_answer_at_, now - std::chrono::milliseconds{update.answered_ms_ago});
   if (update.revision > revision_ || !events.empty()) {
-    ApplyEvents(events, update.revision,
-                {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}});
+    ApplyEvents(
+        events, update.revision,
+        {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}, false});
   }
 }
 
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -20,6 +20,9 @@
   // sender, as the sender reports it.
   Duration age{};
   StoreTransfer transfer;
+  // Whether these are the first contents of a new era: the store has come back with a copy, which
+  // may be older than what was known.
+  bool restored = false;
 
   friend bool operator==(const StoreStateOrigin&, const StoreStateOrigin&) = default;
 };
--- a/tests/router/store_watching_test.cc
+++ b/tests/router/store_watching_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -59,3 +60,52 @@
     CHECK(deployment.ServesPumpsWithin(daemon, "/later/", milliseconds{2000}));
   }
 }
+
+TEST_CASE("endpoints seen leaving get no requests though the store came back older") {
+  using Leave = std::function<void(RouterDeployment&)>;
+  struct Row {
+    std::string name;
+    Leave leave;
+  };
+  const Row rows[] = {
+      {"draining",
+       [](RouterDeployment& deployment) {
+         deployment.RegisterEndpoint(*deployment.pumps[0], "draining");
+       }},
+      {"removed",
+       [](RouterDeployment& deployment) { deployment.DeregisterEndpoint(*deployment.pumps[0]); }},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterDeployment deployment{1, 1, 2};
+    REQUIRE(deployment.WaitUntilServed());
+    deployment.store.SaveCopy();
+    row.leave(deployment);
+    std::this_thread::sleep_for(kSettleTime);
+    deployment.store.RestoreCopy();
+    std::this_thread::sleep_for(kSettleTime);
+    const std::size_t runs_before = deployment.pumps[0]->ExecutionCounts().size();
+    for (int i = 0; i < 20; ++i) {
+      CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
+    }
+    CHECK(deployment.pumps[0]->ExecutionCounts().size() == runs_before);
+  }
+}
+
+TEST_CASE("an endpoint whose entry the store lost has time to write it again") {
+  RouterDeployment deployment{1, 1, 0};
+  deployment.store.SaveCopy();
+  deployment.pumps.push_back(std::make_unique<sycamorestall::fakes::KeyEndpoint>("late", false));
+  deployment.RegisterEndpoint(*deployment.pumps.front());
+  REQUIRE(deployment.WaitUntilServed());
+  REQUIRE(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
+  deployment.WriteConfig(2, "/pumps/");
+  deployment.store.RestoreCopy();
+  std::this_thread::sleep_for(kSettleTime);
+  CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
+  std::this_thread::sleep_for(kSettleTime);
+  CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status != 200);
+  deployment.RegisterEndpoint(*deployment.pumps.front());
+  std::this_thread::sleep_for(kSettleTime);
+  CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
+}
