End a stopping daemon only when its callers' connections have ended

Callers whose request was on its way to a stopping daemon were cut: while they sent its body, right after they had opened the connection, and, where bytes stood behind a closing answer, with the end of that answer lost. In one restart of 34 daemons 15 connections were open when their process ended.

Cause: the process ended, 2.3 s after SIGTERM at the earliest, when no complete request was open; a request that was being sent, and answers that their callers had not fetched yet, were not counted (class: done is judged by what one side has read). A connection was idle as soon as it was accepted, and closed within 20 ms, before its first request could arrive.

Now the daemon ends when every connection has been closed by its caller, or has lingered for a second, and at the same latest time as before; what arrives meanwhile is answered with 503. A connection is idle after a second without use.

Tests: "a stopping daemon answers callers that are still sending a request" (two halves, new connections; before: "starts_with("HTTP/1.1 503 ") values: CHECK( false )" and "connect: Connection refused" in all four rows), "a connection that was just opened is not closed before its first request" and "a connection stays open until its caller has closed it behind the last answer". The tests of idle closes give the time now, as the close does.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t kMaxPipelinedRequests = 64;
 // How long a connection lingers after its last answer.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
+// Connections that were used or opened this recently are not closed as idle: their callers may
+// just be sending a request.
+constexpr std::chrono::milliseconds kMinIdleTime{1000};
 constexpr std::string_view kHeadEnd = "\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kCloseHeadEnd = "Connection: close\r\n\r\n";
@@ -308,13 +311,17 @@
   }
 }
 
-void CallerConnection::CloseWhenIdle() {
+void CallerConnection::CloseWhenIdle(Instant now) {
   close_after_answer_ = true;
-  const bool idle = exchanges_.empty() && !parser_->got_some() && !HasUnreadInput();
-  if (phase_ != Phase::kOpen || !idle) {
+  if (phase_ != Phase::kOpen) {
     return;
   }
-  last_activity_ = BootNow();
+  const bool idle = now - last_activity_ >= kMinIdleTime && exchanges_.empty() &&
+                    !parser_->got_some() && !HasUnreadInput();
+  if (!idle) {
+    return;
+  }
+  last_activity_ = now;
   EndOutput(Phase::kClosedUnread);
 }
 
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -76,15 +76,13 @@
   void Start(Instant now);
   // Closes the connection if it has been idle, or sending a request, for too long.
   void CheckTimeouts(Instant now);
-  // Closes the connection at once if it is idle, and as soon as all requests that were read are
-  // answered otherwise.
-  void CloseWhenIdle();
+  // Closes the connection if it has been idle for a while. Otherwise it is closed as soon as all
+  // requests that were read are answered.
+  void CloseWhenIdle(Instant now);
   // Closes the socket at once.
   void Close();
   // Whether the socket is closed.
   bool closed() const { return phase_ == Phase::kClosed; }
-  // Number of requests that were read and whose answers are not completely written.
-  std::size_t open_requests() const { return exchanges_.size(); }
 
  private:
   friend class CallerExchange;
--- a/src/net/caller_listener.cc
+++ b/src/net/caller_listener.cc
@@ -1,5 +1,7 @@
 #include "net/caller_listener.h"
 
+#include <algorithm>
+
 #include "clock/system_clock.h"
 #include "net/socket_options.h"
 
@@ -36,9 +38,9 @@
   std::erase_if(connections_, [](const auto& each) { return each->closed(); });
 }
 
-void CallerListener::CloseConnectionsWhenIdle() {
+void CallerListener::CloseConnectionsWhenIdle(Instant now) {
   for (const auto& connection : connections_) {
-    connection->CloseWhenIdle();
+    connection->CloseWhenIdle(now);
   }
 }
 
@@ -55,12 +57,9 @@
   connections_.clear();
 }
 
-std::size_t CallerListener::open_requests() const {
-  std::size_t count = 0;
-  for (const auto& connection : connections_) {
-    count += connection->open_requests();
-  }
-  return count;
+std::size_t CallerListener::open_connections() const {
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [](const auto& each) { return !each->closed(); }));
 }
 
 }  // namespace sycamorestall
--- a/src/net/caller_listener.h
+++ b/src/net/caller_listener.h
@@ -19,17 +19,17 @@
 
   // Closes connections that have been idle, or sending a request, for too long.
   void CheckTimeouts(Instant now);
-  // Closes idle connections at once, and the others as soon as all requests that were read are
-  // answered.
-  void CloseConnectionsWhenIdle();
+  // Closes connections that have been idle for a while, and the others as soon as all requests that
+  // were read are answered.
+  void CloseConnectionsWhenIdle(Instant now);
   // Stops accepting connections; existing ones stay open.
   void StopAccepting();
   // Stops accepting connections and closes all existing ones at once.
   void CloseAll();
   // Returns the port it listens on.
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  // Number of requests whose answers are not completely written.
-  std::size_t open_requests() const;
+  // Number of connections that neither side has closed completely.
+  std::size_t open_connections() const;
 
  private:
   void Accept();
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -302,9 +302,9 @@
     caller_listener_->StopAccepting();
     GiveUpOpenRequests(now);
   }
-  caller_listener_->CloseConnectionsWhenIdle();
+  caller_listener_->CloseConnectionsWhenIdle(now);
   const bool out_of_time = elapsed > settings_.stop_timeout - kStopMargin;
-  if (caller_listener_->open_requests() > 0 && !out_of_time) {
+  if (caller_listener_->open_connections() > 0 && !out_of_time) {
     return;
   }
   caller_listener_->StopAccepting();
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -93,6 +93,8 @@
     Run();
   }
   CallerListener& listener() { return listener_; }
+  // Closes connections as if they had been idle for long.
+  void CloseWhenIdle() { listener_.CloseConnectionsWhenIdle(BootNow() + std::chrono::seconds{10}); }
 
   RequestCollector collector;
   bool connection_ended = false;
@@ -187,7 +189,7 @@
   ConnectionFixture fixture;
   fixture.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
   fixture.collector.closing = true;
-  fixture.listener().CloseConnectionsWhenIdle();
+  fixture.CloseWhenIdle();
   CHECK_FALSE(fixture.connection_ended);
   fixture.Answer(0, "done");
   const std::string received = fixture.Received();
@@ -213,7 +215,7 @@
     ConnectionFixture fixture;
     fixture.Send(row.sent_before);
     fixture.collector.closing = true;
-    fixture.listener().CloseConnectionsWhenIdle();
+    fixture.CloseWhenIdle();
     fixture.Send(row.sent_after);
     REQUIRE(fixture.collector.exchanges.size() == row.handed_on);
     for (std::size_t i = 0; i < row.handed_on; ++i) {
@@ -244,7 +246,7 @@
   ConnectionFixture fixture;
   fixture.Run();
   fixture.SendUnseen("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-  fixture.listener().CloseConnectionsWhenIdle();
+  fixture.CloseWhenIdle();
   fixture.Run();
   REQUIRE(fixture.collector.exchanges.size() == 1);
   fixture.Answer(0, "done");
@@ -254,7 +256,7 @@
 TEST_CASE("a request that crosses the close of an idle connection is not read") {
   ConnectionFixture fixture;
   fixture.Run();
-  fixture.listener().CloseConnectionsWhenIdle();
+  fixture.CloseWhenIdle();
   fixture.Run();
   fixture.Received();
   CHECK(fixture.connection_ended);
@@ -262,6 +264,27 @@
   CHECK(fixture.SendUntilBlocked(request) < request.size());
 }
 
+TEST_CASE("a connection that was just opened is not closed before its first request") {
+  ConnectionFixture fixture;
+  fixture.Run();
+  fixture.collector.closing = true;
+  fixture.listener().CloseConnectionsWhenIdle(BootNow());
+  fixture.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  fixture.Answer(0, "done");
+  CHECK(PositionOf(fixture.Received(), "done") != std::string::npos);
+}
+
+TEST_CASE("a connection stays open until its caller has closed it behind the last answer") {
+  ConnectionFixture fixture;
+  fixture.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  fixture.collector.closing = true;
+  fixture.Answer(0, "done");
+  CHECK(fixture.listener().open_connections() == 1);
+  fixture.Close();
+  CHECK(fixture.listener().open_connections() == 0);
+}
+
 TEST_CASE("idle connections are closed after their timeout, busy ones are not") {
   struct Row {
     std::string name;
--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -2,6 +2,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -340,6 +345,55 @@
   }
 }
 
+TEST_CASE("a stopping daemon answers callers that are still sending a request") {
+  struct Row {
+    std::string name;
+    // After the signal: when the connection is opened, and the halves of the request are sent.
+    std::chrono::milliseconds connected;
+    std::chrono::milliseconds first_half_sent;
+    std::chrono::milliseconds second_half_sent;
+  };
+  using std::chrono::milliseconds;
+  const Row rows[] = {
+      {"sent in two halves", milliseconds{-200}, milliseconds{500}, milliseconds{2900}},
+      {"new connection", milliseconds{2500}, milliseconds{2900}, milliseconds{2900}},
+      {"new connection, in two halves", milliseconds{2500}, milliseconds{2600}, milliseconds{4000}},
+      {"kept connection", milliseconds{2000}, milliseconds{2900}, milliseconds{2900}}};
+  const std::string request =
+      "POST /pumps/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: late\r\n"
+      "X-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody";
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  const auto signal_at = Clock::now() + milliseconds{300};
+  std::vector<std::future<std::string>> answers;
+  for (const Row& row : rows) {
+    answers.push_back(std::async(std::launch::async, [&deployment, &row, &request, signal_at] {
+      namespace asio = boost::asio;
+      std::this_thread::sleep_until(signal_at + row.connected);
+      asio::io_context context;
+      asio::ip::tcp::socket socket{context};
+      socket.connect({asio::ip::address_v4::loopback(), deployment.CallerPort(0)});
+      boost::system::error_code error;
+      const std::size_t half = request.size() / 2;
+      std::this_thread::sleep_until(signal_at + row.first_half_sent);
+      asio::write(socket, asio::buffer(request.substr(0, half)), error);
+      std::this_thread::sleep_until(signal_at + row.second_half_sent);
+      asio::write(socket, asio::buffer(request.substr(half)), error);
+      std::string answer;
+      asio::read(socket, asio::dynamic_buffer(answer), error);
+      return answer;
+    }));
+  }
+  std::this_thread::sleep_until(signal_at);
+  deployment.SendSignal(0, SIGTERM);
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    CAPTURE(rows[i].name);
+    CHECK(answers[i].get().starts_with("HTTP/1.1 503 "));
+  }
+  CHECK(CountExecutions(deployment, "late") == 0);
+  CHECK(deployment.WaitForExit(0) == 0);
+}
+
 TEST_CASE("requests that are open at the end of the time to stop are answered, not cut") {
   struct Row {
     std::string name;
