Test planned stops in series and overlapping, with callers on open connections

Callers pipeline on open connections until their daemon's process is gone; daemons get SIGTERM (at times twice, or behind SIGHUP) at moments that the seed chooses, and start again; endpoints are fast, slow or silent and routes allow 9 s. Checked: no request that ran is left without an answer, none that was refused ran, no command runs twice, each process exits within 6 s.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <string>
 
+#include "soak/stop_soak.h"
+
 using namespace sycamorestall::testing;  // NOLINT
 
 namespace {
@@ -65,3 +67,19 @@
             report.final_requests);
   }
 }
+
+TEST_CASE("no request that ran is left without an answer by planned stops") {
+  constexpr std::chrono::seconds kStopsDuration{8};
+  const SeedRange seeds = ReadSeeds();
+  for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
+    CAPTURE(seed);
+    const StopSoakReport report = StopSoak{seed}.Run(kStopsDuration);
+    for (const std::string& line : report.violations) {
+      FAIL_CHECK(line);
+    }
+    CHECK(report.stops > 0);
+    CHECK(report.answered > report.refused);
+    MESSAGE("seed ", seed, ": ", report.stops, " stops, ", report.answered, " of ", report.requests,
+            " answered, ", report.refused, " refused, ", report.unanswered, " without answer");
+  }
+}
