Let endpoints of the soak say that they leave, and ask for pauses

The soak had endpoints that drain by the list only, and refusals without a time to retry. One of five events of an endpoint is now that it says in all answers that it leaves, while the list says ready, until it restarts; half of its faults send a time to retry with each refusal.

A router test states that an answer to another request, which may come from anywhere, says nothing about the endpoint.

--- a/tests/router/routing_daemon_test.cc
+++ b/tests/router/routing_daemon_test.cc
@@ -590,3 +590,20 @@
   CHECK(took->count() <= 2500);
   CHECK(owner.HoldsKey(7));
 }
+
+TEST_CASE("an answer to another request says nothing about the endpoint that sent it") {
+  RouterDeployment deployment{1, 1, 1};
+  REQUIRE(deployment.WaitUntilServed());
+  fakes::KeyEndpoint& endpoint = *deployment.pumps.front();
+  endpoint.SetFault(EndpointFault::kWrongRequestId);
+  endpoint.SetLeaving(true);
+  const CallerRequest call{.path = "/pumps/1", .method = "POST"};
+  for (int i = 0; i < 5; ++i) {
+    CHECK(deployment.SendRequest(0, call).status == 502);
+  }
+  CHECK(deployment.ReadLog(0).find("endpoint drains") == std::string::npos);
+  endpoint.SetFault(EndpointFault::kNone);
+  CHECK(deployment.SendRequest(0, call).status == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  CHECK(deployment.ReadLog(0).find("endpoint drains id=pump-0 ") != std::string::npos);
+}
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -161,17 +161,22 @@
   });
 }
 
+void Soak::RestartEndpoint(fakes::KeyEndpoint& endpoint, std::size_t number) {
+  LogEvent(endpoint.id() + " restarts");
+  endpoint.SetLeaving(false);
+  endpoint.Restart();
+  deployment_.RegisterEndpoint(endpoint, "ready", ++endpoint_starts_[number]);
+}
+
 void Soak::InjectEndpointFault() {
   const auto number = static_cast<std::size_t>(RandomBelow(kSoilEndpoints + kPumpEndpoints));
   fakes::KeyEndpoint& endpoint = number < kSoilEndpoints
                                      ? *deployment_.soil[number]
                                      : *deployment_.pumps[number - kSoilEndpoints];
   const milliseconds duration{kMinFaultMs + RandomBelow(kFaultRangeMs)};
-  switch (RandomBelow(4)) {
+  switch (RandomBelow(5)) {
     case 0:
-      LogEvent(endpoint.id() + " restarts");
-      endpoint.Restart();
-      deployment_.RegisterEndpoint(endpoint, "ready", ++endpoint_starts_[number]);
+      RestartEndpoint(endpoint, number);
       return;
     case 1:
       LogEvent(endpoint.id() + " drains");
@@ -181,6 +186,12 @@
       LogEvent(endpoint.id() + " is deregistered");
       deployment_.DeregisterEndpoint(endpoint);
       break;
+    case 3:
+      // The list goes on saying that it is ready, until it starts again.
+      LogEvent(endpoint.id() + " says that it leaves");
+      endpoint.SetLeaving(true);
+      Schedule(duration, [this, &endpoint, number] { RestartEndpoint(endpoint, number); });
+      return;
     default: {
       constexpr std::array kEndpointFaults{
           fakes::EndpointFault::kFull, fakes::EndpointFault::kWrongRequestId,
@@ -188,6 +199,7 @@
           fakes::EndpointFault::kFullOnFirstAttempt};
       const int kind = RandomBelow(static_cast<int>(kEndpointFaults.size()));
       LogEvent(endpoint.id() + " has fault " + std::to_string(kind));
+      endpoint.SetRetryAfter(RandomBelow(2) == 0 ? "0.8" : "");
       endpoint.SetFault(kEndpointFaults[static_cast<std::size_t>(kind)]);
     }
   }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -55,6 +55,8 @@
   void InjectStoreFault();
   void InjectConnectionFault();
   void InjectEndpointFault();
+  // Restarts an endpoint, whose number counts over the endpoints of both services.
+  void RestartEndpoint(fakes::KeyEndpoint& endpoint, std::size_t number);
   // Runs `action` in the main loop once `delay` has passed.
   void Schedule(std::chrono::milliseconds delay, std::function<void()> action);
   void RunDueTasks();
