Heed what an endpoint said while its entry had lapsed

After an outage an entry that lapsed comes back for the same start; the time since when that start is known was then set anew, so that an answer to a request sent before counted as one of an earlier start, and what it said was dropped.

The time is kept together with what else is remembered of the start. The new row of "an endpoint that announced its leaving is not used again until it restarts" failed before (4 checks, among them CHECK( endpoint.draining() == row.draining )) and passes now.

--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -87,6 +87,7 @@
   state.listed_at = now;
   const auto removed = removed_.find(entry.id);
   if (removed != removed_.end() && IsSameStart(removed->second.state.entry, entry)) {
+    state.listed_at = removed->second.state.listed_at;
     state.announced_draining = removed->second.state.announced_draining;
     state.draining_since = removed->second.state.draining_since;
     state.paused_until = removed->second.state.paused_until;
--- a/tests/core/routing_test.cc
+++ b/tests/core/routing_test.cc
@@ -314,7 +314,16 @@
 }
 
 TEST_CASE("an endpoint that announced its leaving is not used again until it restarts") {
-  enum class Event { kEntry, kRestart, kRemoved, kAnnounced, kOldAnswer, kReported, kOldReport };
+  enum class Event {
+    kEntry,
+    kRestart,
+    kRemoved,
+    kAnnounced,
+    kOldAnswer,
+    kAnswerToFirstRequest,
+    kReported,
+    kOldReport
+  };
   struct Row {
     std::string name;
     std::vector<Event> events;
@@ -329,6 +338,9 @@
       {"announced after its entry lapsed",
        {E::kEntry, E::kRemoved, E::kAnnounced, E::kEntry},
        true},
+      {"announced in an answer to a request from before its entry lapsed",
+       {E::kEntry, E::kRemoved, E::kEntry, E::kAnswerToFirstRequest},
+       true},
       {"restarted", {E::kEntry, E::kAnnounced, E::kRestart}, false},
       {"restarted after it was removed",
        {E::kEntry, E::kAnnounced, E::kRemoved, E::kRestart},
@@ -362,6 +374,11 @@
         case Event::kOldAnswer:
           CHECK_FALSE(fleet.HandleNotice(entry.id, {.draining = true}, kStart, now).began_draining);
           break;
+        case Event::kAnswerToFirstRequest:
+          // Sent right after the first entry.
+          CHECK(fleet.HandleNotice(entry.id, {.draining = true}, kStart + milliseconds{150}, now)
+                    .began_draining);
+          break;
         case Event::kReported:
           CHECK(fleet.HandleDrainReport(entry.id, entry.incarnation, now));
           break;
