Send nothing over a connection that was established too late

On a daemon whose event loop was held up the handler of an established connection may run before the timeouts are checked; it sent without looking at them, so that a grant queued under valid authority could leave after that had ended.

The handler checks the timeouts first.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -130,6 +130,11 @@
       self->FailCall(CallOutcome::kNotConnected, error.message());
       return;
     }
+    // The event loop may run this late.
+    self->CheckTimeouts(BootNow());
+    if (self->phase_ != Phase::kConnecting) {
+      return;
+    }
     SetTcpOptions(self->socket_);
     self->Send();
   });
--- a/tests/net/http_connection_test.cc
+++ b/tests/net/http_connection_test.cc
@@ -275,6 +275,40 @@
   }
 }
 
+TEST_CASE("a request whose time to connect or answer is over is not sent by a delayed event loop") {
+  struct Row {
+    std::string name;
+    std::chrono::milliseconds connect_timeout;
+    std::chrono::milliseconds answer_timeout;
+    CallOutcome outcome;
+    int requests;
+  };
+  using std::chrono::milliseconds;
+  const Row rows[] = {
+      {"in time", milliseconds{2000}, milliseconds{2000}, CallOutcome::kAnswered, 1},
+      {"too late to connect", milliseconds{20}, milliseconds{2000}, CallOutcome::kConnectTimedOut,
+       0},
+      {"too late for an answer", milliseconds{2000}, milliseconds{20},
+       CallOutcome::kConnectTimedOut, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ScriptedServer server{Script{kValidAnswer}};
+    Client client;
+    OutgoingCall call;
+    call.message.head = "GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n";
+    call.connect_timeout = row.connect_timeout;
+    call.deadline = BootNow() + row.answer_timeout;
+    std::optional<CallOutcome> outcome;
+    client.pool().Call("peer", server.address(), std::move(call), BootNow(),
+                       [&outcome](const CallResult& result) { outcome = result.outcome; });
+    std::this_thread::sleep_for(milliseconds{60});
+    client.Run(milliseconds{200});
+    CHECK(outcome == row.outcome);
+    CHECK(server.requests() == row.requests);
+  }
+}
+
 TEST_CASE("a connection is replaced before the ids of its requests fill the memory") {
   ScriptedServer server{Script{kOwnAnswer}};
   JudgingClient client;
