--- a/src/http/status.h
+++ b/src/http/status.h
@@ -13,6 +13,7 @@
 inline constexpr std::uint16_t kConflict = 409;
 inline constexpr std::uint16_t kLengthRequired = 411;
 inline constexpr std::uint16_t kContentTooLarge = 413;
+inline constexpr std::uint16_t kMisdirectedRequest = 421;
 inline constexpr std::uint16_t kTooManyRequests = 429;
 inline constexpr std::uint16_t kHeaderFieldsTooLarge = 431;
 inline constexpr std::uint16_t kInternalServerError = 500;
