--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -13,6 +13,7 @@
 
 using nlohmann::json;
 
+constexpr char kEmptyJson[] = "{}";
 constexpr std::chrono::milliseconds kPollInterval{2};
 constexpr double kMillisecondsPerSecond = 1000;
 
@@ -128,7 +129,7 @@
   const auto begin = highest_tokens_.begin() + range.first;
   const auto end = highest_tokens_.begin() + range.last + 1;
   if (std::any_of(begin, end, [token](std::uint64_t seen) { return seen > token; })) {
-    SendOrderReply(exchange, 409, "");
+    SendOrderReply(exchange, 409, "", kEmptyJson);
     return;
   }
   std::fill(begin, end, token);
@@ -141,7 +142,7 @@
     return range.first <= grant.range.first && grant.range.last <= range.last;
   });
   grants_.push_back({range, token, BootNow() + lifetime});
-  SendOrderReply(exchange, 200, "");
+  SendOrderReply(exchange, 200, "", kEmptyJson);
 }
 
 void KeyEndpoint::HandleRelease(CallerExchange& exchange) {
@@ -162,7 +163,7 @@
   grants_ = std::move(kept);
   std::string handover;
   AppendHeader(handover, "X-Handover", "from-" + id_);
-  SendOrderReply(exchange, 200, handover);
+  SendOrderReply(exchange, 200, handover, "");
 }
 
 std::string KeyEndpoint::AnswerHead(unsigned status) const {
@@ -177,10 +178,11 @@
 }
 
 void KeyEndpoint::SendOrderReply(CallerExchange& exchange, unsigned status,
-                                 const std::string& headers) {
+                                 const std::string& headers, const std::string& body) {
   OutgoingMessage message;
   message.head = AnswerHead(status) + headers;
-  AppendHeader(message.head, "Content-Length", "0");
+  AppendHeader(message.head, "Content-Length", std::to_string(body.size()));
+  message.body = std::make_shared<const std::string>(body);
   exchange.Answer(std::move(message));
 }
 
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -83,8 +83,10 @@
   EndpointFault ChooseFault(const std::string& id);
   // The head of an answer, without its length and the final empty line.
   std::string AnswerHead(unsigned status) const;
-  // Answers an order with the given additional headers.
-  void SendOrderReply(CallerExchange& exchange, unsigned status, const std::string& headers);
+  // Answers an order with the given additional headers. Grants are answered with a body, releases
+  // without one.
+  void SendOrderReply(CallerExchange& exchange, unsigned status, const std::string& headers,
+                      const std::string& body);
   void SendNotExecuted(CallerExchange& exchange, unsigned status);
   void SendAnswer(CallerExchange& exchange, EndpointFault fault);
   void RunEventLoop();
