--- a/review/standin/target.h
+++ b/review/standin/target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -20,6 +21,9 @@
   std::string crash_text;
   // How long a crashed target stays away; it comes back at its address under a new id.
   double restart_s = 2.0;
+  // Whether a request that has run fails now: it is answered with this status. Unset: never.
+  std::function<bool()> fails = {};
+  int failure_status = 503;
 };
 
 // The runs and arrivals at all targets of a test.
@@ -138,9 +142,11 @@
       }
       --running_;
       running_ids_.erase(id);
-      if (left || !connection.Write(Answer(200, echo + "X-Server-Stamp: " + id_ + "\r\n", "ran " + id))) {
-        return;
-      }
+      const bool failed = settings_.fails && settings_.fails();
+      if (failed) record_.Write("run failed target=" + id_ + " id=" + id);
+      const int status = failed ? settings_.failure_status : 200;
+      const std::string headers = echo + "X-Server-Stamp: " + id_ + "\r\n";
+      if (left || !connection.Write(Answer(status, headers, "ran " + id))) return;
     }
   }
 
