--- a/review/standin/crashing_request.cc
+++ b/review/standin/crashing_request.cpp
@@ -2,8 +2,8 @@
 #include <algorithm>
 #include <cstdlib>
 
-#include "deployment.h"
-#include "target.h"
+#include "deployment.hpp"
+#include "target.hpp"
 
 namespace standin {
 namespace {
@@ -22,15 +22,17 @@
 class Test {
  public:
   Test(const std::string& directory, bool trouble, const std::string& record_file)
-      : ports_(LoadPorts(directory)), trouble_(trouble), record_(record_file),
+      : ports_(LoadPorts(directory)),
+        trouble_(trouble),
+        record_(record_file),
         store_(ports_.store) {}
 
   int Run() {
     for (int i = 0; i < 6; ++i) {
-      targets_.push_back(std::make_unique<Target>(
-          TargetSettings{"pumps", "zone-" + std::to_string(i % 2), 6, 0.12,
-                         trouble_ ? kCrashPath : "", 2.0},
-          "pump-" + std::to_string(i), store_, log_, record_));
+      targets_.push_back(
+          std::make_unique<Target>(TargetSettings{"pumps", "zone-" + std::to_string(i % 2), 6, 0.12,
+                                                  trouble_ ? kCrashPath : "", 2.0},
+                                   "pump-" + std::to_string(i), store_, log_, record_));
     }
     store_.Put("op/config", Config().dump());
     if (!WaitUntilReady(ports_, 20)) {
@@ -59,8 +61,13 @@
             {"hosts",
              {{{"host", "desk.example"},
                {"paths",
-                {{{"name", "r-pumps"}, {"prefix", "/pumps/"}, {"kind", "unsafe"},
-                  {"timeout_s", 1.2}, {"aim_s", 0.4}, {"priority", 1}, {"service", "pumps"},
+                {{{"name", "r-pumps"},
+                  {"prefix", "/pumps/"},
+                  {"kind", "unsafe"},
+                  {"timeout_s", 1.2},
+                  {"aim_s", 0.4},
+                  {"priority", 1},
+                  {"service", "pumps"},
                   {"max_attempts", 2}}}}}}}};
   }
 
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.hpp
@@ -4,8 +4,8 @@
 #include <csignal>
 #include <fstream>
 
-#include "record.h"
-#include "store.h"
+#include "record.hpp"
+#include "store.hpp"
 
 namespace standin {
 
@@ -78,14 +78,18 @@
 }
 
 inline json Service(const std::string& name) {
-  return {{"name", name}, {"health_path", "/health"}, {"max_conns", 110},
-          {"protocol", "h1"}, {"tls", false}};
+  return {{"name", name},
+          {"health_path", "/health"},
+          {"max_conns", 110},
+          {"protocol", "h1"},
+          {"tls", false}};
 }
 
 inline std::string RequestText(const std::string& method, const std::string& path,
                                const std::string& host, const std::string& id, int timeout_ms,
                                const std::string& body = "") {
-  std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id +
+  std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
+                     "\r\nX-Request-Id: " + id +
                      "\r\nX-Deadline-Ms: " + std::to_string(timeout_ms) + "\r\n";
   if (method != "GET") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return text + "\r\n" + body;
--- a/review/standin/failing_target.cc
+++ b/review/standin/failing_target.cpp
@@ -3,15 +3,15 @@
 #include <cstdlib>
 #include <random>
 
-#include "deployment.h"
-#include "target.h"
+#include "deployment.hpp"
+#include "target.hpp"
 
 namespace standin {
 namespace {
 
 constexpr double kTestLimitS = 60;
-// Like the service pwmp of the site: 8 targets with 6 slots. One of them, less than the largest share
-// of srv_grey (0.14), fails this part of its requests for so long.
+// Like the service pwmp of the site: 8 targets with 6 slots. One of them, less than the largest
+// share of srv_grey (0.14), fails this part of its requests for so long.
 constexpr int kTargets = 8;
 constexpr double kFailingPart = 0.55;
 constexpr double kFailingS = 8.5;
@@ -23,15 +23,17 @@
 class Test {
  public:
   Test(const std::string& directory, bool trouble, const std::string& record_file)
-      : ports_(LoadPorts(directory)), trouble_(trouble), record_(record_file),
+      : ports_(LoadPorts(directory)),
+        trouble_(trouble),
+        record_(record_file),
         store_(ports_.store) {}
 
   int Run() {
     for (int i = 0; i < kTargets; ++i) {
       TargetSettings settings{"pumps", "zone-" + std::to_string(i % 2), 6, 0.12, "", 2.0};
       if (i == 0) settings.fails = [this] { return Fails(); };
-      targets_.push_back(std::make_unique<Target>(settings, "pump-" + std::to_string(i), store_,
-                                                  log_, record_));
+      targets_.push_back(
+          std::make_unique<Target>(settings, "pump-" + std::to_string(i), store_, log_, record_));
     }
     store_.Put("op/config", Config().dump());
     if (!WaitUntilReady(ports_, 20)) {
@@ -60,8 +62,13 @@
             {"hosts",
              {{{"host", "desk.example"},
                {"paths",
-                {{{"name", "r-pumps"}, {"prefix", "/pumps/"}, {"kind", "unsafe"},
-                  {"timeout_s", 1.2}, {"aim_s", 0.4}, {"priority", 1}, {"service", "pumps"},
+                {{{"name", "r-pumps"},
+                  {"prefix", "/pumps/"},
+                  {"kind", "unsafe"},
+                  {"timeout_s", 1.2},
+                  {"aim_s", 0.4},
+                  {"priority", 1},
+                  {"service", "pumps"},
                   {"max_attempts", 2}}}}}}}};
   }
 
@@ -109,12 +116,14 @@
     for (const RunLog::Run& each : log_.runs) ++runs_by_order[each.path];
     int repeated = 0;
     for (const auto& [path, runs] : runs_by_order) repeated += runs > 1 ? 1 : 0;
-    record_.Report("sent " + std::to_string(sent_) + " requests that may run once, answered 200: " +
-                   std::to_string(served_) + ", promised not to have run: " +
-                   std::to_string(promised_ids_.size()));
-    record_.Report("promised not to have run, although a target has run it: " +
-                   std::to_string(broken) + ", allowed 0; orders that have run more than once, as "
-                   "their callers believed the promise: " + std::to_string(repeated));
+    record_.Report("sent " + std::to_string(sent_) +
+                   " requests that may run once, answered 200: " + std::to_string(served_) +
+                   ", promised not to have run: " + std::to_string(promised_ids_.size()));
+    record_.Report(
+        "promised not to have run, although a target has run it: " + std::to_string(broken) +
+        ", allowed 0; orders that have run more than once, as "
+        "their callers believed the promise: " +
+        std::to_string(repeated));
     if (served_ == 0) return 2;
     return broken > 0 ? 1 : 0;
   }
--- a/review/standin/large_bodies.cc
+++ b/review/standin/large_bodies.cpp
@@ -1,10 +1,10 @@
-// Callers upload large bodies, within the limit of the configuration, at the same time. The platform
-// kills a daemon that takes more memory than its machine has.
+// Callers upload large bodies, within the limit of the configuration, at the same time. The
+// platform kills a daemon that takes more memory than its machine has.
 #include <cstdlib>
 #include <fstream>
 
-#include "deployment.h"
-#include "target.h"
+#include "deployment.hpp"
+#include "target.hpp"
 
 namespace standin {
 namespace {
@@ -32,18 +32,21 @@
  public:
   Test(const std::string& directory, std::vector<pid_t> daemons, bool trouble,
        const std::string& record_file)
-      : ports_(LoadPorts(directory)), daemons_(std::move(daemons)), trouble_(trouble),
-        record_(record_file), store_(ports_.store) {}
+      : ports_(LoadPorts(directory)),
+        daemons_(std::move(daemons)),
+        trouble_(trouble),
+        record_(record_file),
+        store_(ports_.store) {}
 
   int Run() {
     for (int i = 0; i < 4; ++i) {
       const std::string zone = "zone-" + std::to_string(i % 2);
-      targets_.push_back(std::make_unique<Target>(
-          TargetSettings{"pumps", zone, 12, 0.12, "", 2}, "pump-" + std::to_string(i), store_,
-          log_, record_));
-      targets_.push_back(std::make_unique<Target>(
-          TargetSettings{"photos", zone, 6, 0.11, "", 2}, "photo-" + std::to_string(i), store_,
-          log_, record_));
+      targets_.push_back(std::make_unique<Target>(TargetSettings{"pumps", zone, 12, 0.12, "", 2},
+                                                  "pump-" + std::to_string(i), store_, log_,
+                                                  record_));
+      targets_.push_back(std::make_unique<Target>(TargetSettings{"photos", zone, 6, 0.11, "", 2},
+                                                  "photo-" + std::to_string(i), store_, log_,
+                                                  record_));
     }
     store_.Put("op/config", Config().dump());
     if (!WaitUntilReady(ports_, 20)) {
@@ -67,9 +70,14 @@
   static json Config() {
     const auto route = [](const char* prefix, const char* kind, double timeout_s, double aim_s,
                           const char* service) {
-      return json{{"name", std::string{"r"} + service}, {"prefix", prefix}, {"kind", kind},
-                  {"timeout_s", timeout_s}, {"aim_s", aim_s}, {"priority", 1},
-                  {"service", service}, {"max_attempts", 2}};
+      return json{{"name", std::string{"r"} + service},
+                  {"prefix", prefix},
+                  {"kind", kind},
+                  {"timeout_s", timeout_s},
+                  {"aim_s", aim_s},
+                  {"priority", 1},
+                  {"service", service},
+                  {"max_attempts", 2}};
     };
     return {{"version", 3},
             {"services", {Service("pumps"), Service("photos")}},
@@ -138,19 +146,19 @@
     const auto connection = Connection::Open(ports_.daemons[0].callers);
     if (!connection) return;
     record_.Write("send id=" + id + " path=/photos/1 body=" + std::to_string(bytes));
-    connection->Write(RequestText("POST", "/photos/1", "desk.example", id, kTimeoutMs,
-                                  std::string(bytes, 'x')));
+    connection->Write(
+        RequestText("POST", "/photos/1", "desk.example", id, kTimeoutMs, std::string(bytes, 'x')));
     const auto answer = connection->Read(Clock::now() + milliseconds{kTimeoutMs});
-    record_.Write("upload id=" + id + " status=" +
-                  (answer ? std::to_string(answer->Status()) : std::string{"none"}));
+    record_.Write("upload id=" + id +
+                  " status=" + (answer ? std::to_string(answer->Status()) : std::string{"none"}));
   }
 
   int Judge() {
     int lost = 0;
     for (const std::string& id : cut_ids_) lost += log_.HasRun(id) ? 1 : 0;
-    record_.Report("sent " + std::to_string(sent_) + " requests that may run once, answered 200: " +
-                   std::to_string(answered_) + ", peak memory " + std::to_string(peak_bytes_) +
-                   " bytes");
+    record_.Report("sent " + std::to_string(sent_) +
+                   " requests that may run once, answered 200: " + std::to_string(answered_) +
+                   ", peak memory " + std::to_string(peak_bytes_) + " bytes");
     record_.Report("passed on to a sound target, then connection closed without an answer: " +
                    std::to_string(lost) + ", allowed " + std::to_string(kAllowedLosses));
     if (answered_ == 0) return 2;
--- a/review/standin/record.h
+++ b/review/standin/record.hpp
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <string>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace standin {
 
--- a/review/standin/store.h
+++ b/review/standin/store.hpp
@@ -5,7 +5,7 @@
 #include <list>
 #include <nlohmann/json.hpp>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace standin {
 
@@ -85,7 +85,8 @@
   void Erase(const std::string& key) {
     if (items_.erase(key) == 0) return;
     ++revision_;
-    history_.emplace_back(revision_, json{{"key", key}, {"revision", revision_}, {"removed", true}});
+    history_.emplace_back(revision_,
+                          json{{"key", key}, {"revision", revision_}, {"removed", true}});
     changed_.notify_all();
   }
 
@@ -241,8 +242,8 @@
     }
     for (const json& key : body.value("deletes", json::array())) {
       if (items_.erase(key.get<std::string>()) > 0) {
-        history_.emplace_back(
-            revision_, json{{"key", key}, {"revision", revision_}, {"removed", true}});
+        history_.emplace_back(revision_,
+                              json{{"key", key}, {"revision", revision_}, {"removed", true}});
       }
     }
     changed_.notify_all();
--- a/review/standin/target.h
+++ b/review/standin/target.hpp
@@ -6,8 +6,8 @@
 #include <memory>
 #include <set>
 
-#include "record.h"
-#include "store.h"
+#include "record.hpp"
+#include "store.hpp"
 
 namespace standin {
 
@@ -49,8 +49,12 @@
 class Target {
  public:
   Target(TargetSettings settings, std::string name, Store& store, RunLog& log, Record& record)
-      : settings_(std::move(settings)), name_(std::move(name)), store_(store), log_(log),
-        record_(record), server_(0, [this](Connection& connection) { Serve(connection); }) {
+      : settings_(std::move(settings)),
+        name_(std::move(name)),
+        store_(store),
+        log_(log),
+        record_(record),
+        server_(0, [this](Connection& connection) { Serve(connection); }) {
     Begin();
     std::thread([this] { Beat(); }).detach();
   }
