--- a/review/standin/http.hpp
+++ b/review/standin/http.hpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -236,7 +237,7 @@
 inline std::vector<std::uint16_t> PickFreePorts(std::size_t count) {
   std::vector<std::uint16_t> ports;
   std::vector<int> sockets;
-  unsigned state = static_cast<unsigned>(getpid()) * 2654435761U;
+  unsigned state = std::random_device{}();
   while (ports.size() < count) {
     state = state * 1664525U + 1013904223U;
     const auto port = static_cast<std::uint16_t>(10240 + (state >> 12) % 20000);
