--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standin/*.cpp; do
+for source in review/*.cpp; do
   program=target/review/$(basename "$source" .cpp)
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "$program" "$source"
 done
