A leader waits for every earlier leader that may still grant keys

Cause: a claim waits for the authority of the leader that the record names; one that steps down erases its name, and with it that the leader before it, cut off from the store, may still send grants. The record now says for how long earlier leaders may go on; the next leader waits that long after its own claim.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -23,6 +23,10 @@
 // More than a leader adds to its term or to its highest token between two eras of the store.
 constexpr std::uint64_t kNumbersPerEra = std::uint64_t{1} << 20;
 
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
 // Whether a record was written after another one, or is the same.
 bool IsAtLeastAsRecent(const OwnershipRecord& record, const OwnershipRecord& other) {
   if (record.term != other.term) {
@@ -151,7 +155,7 @@
   }
   OwnershipRecord record = CurrentRecord();
   RaiseToPresentEra(record);
-  StartWrite(std::move(record));
+  StartWrite(std::move(record), now);
 }
 
 void KeyLeader::BecomeFollower() {
@@ -163,7 +167,15 @@
   actions_.emplace_back(RoutesChanged{});
 }
 
-void KeyLeader::StartWrite(OwnershipRecord record) {
+void KeyLeader::SetWaits(OwnershipRecord& record, Instant now) const {
+  const auto time_until = [now](Instant until) {
+    return std::chrono::ceil<std::chrono::milliseconds>(std::max(until - now, Duration{}));
+  };
+  record.earlier_leaders_time = time_until(earlier_leaders_until_);
+}
+
+void KeyLeader::StartWrite(OwnershipRecord record, Instant now) {
+  SetWaits(record, now);
   record.change_id = settings_.self.value() + "." + std::to_string(record.term.value) + "." +
                      std::to_string(next_change_number_++);
   pending_write_ = record;
@@ -257,7 +269,7 @@
     return;
   }
   if (stepping_down_) {
-    StopLeading(store);
+    StopLeading(store, now);
     return;
   }
   const bool must_wait = holders_unknown_ && now < lost_grants_until_;
@@ -296,7 +308,7 @@
   return record;
 }
 
-void KeyLeader::StopLeading(const StoreView& store) {
+void KeyLeader::StopLeading(const StoreView& store, Instant now) {
   if (!store.reachable) {
     LogDecision("handing over renewals term=" + std::to_string(record_.term.value) +
                 ": the store is unreachable");
@@ -308,8 +320,10 @@
   if (!pending_write_) {
     OwnershipRecord record = CurrentRecord();
     record.leader = {};
-    LogDecision("stepping down term=" + std::to_string(record.term.value));
-    StartWrite(std::move(record));
+    StartWrite(std::move(record), now);
+    LogDecision("stepping down term=" + std::to_string(record_.term.value) +
+                " earlier_leaders_ms=" +
+                std::to_string(ToMilliseconds(pending_write_->earlier_leaders_time)));
   }
 }
 
@@ -409,7 +423,10 @@
   claimed_at_ = now;
   leaderless_since_.reset();
   OwnershipRecord record = record_;
-  earlier_leader_stepped_down_ = record.leader.empty();
+  // A leader that did not step down may go on granting keys until its authority ends, and so may
+  // any before it. One that did knew how long others may.
+  earlier_leaders_time_ = record.leader.empty() ? Duration{record.earlier_leaders_time}
+                                                : Duration{settings_.grant_authority};
   holders_unknown_ = MayLackChanges();
   RaiseToPresentEra(record);
   record.term.value += 1;
@@ -421,8 +438,9 @@
     owned.token = record.highest_token;
   }
   LogDecision("claiming leadership term=" + std::to_string(record.term.value) +
-              " earlier=" + record_.leader.value());
-  StartWrite(std::move(record));
+              " earlier=" + record_.leader.value() +
+              " earlier_leaders_ms=" + std::to_string(ToMilliseconds(earlier_leaders_time_)));
+  StartWrite(std::move(record), now);
 }
 
 void KeyLeader::LoadRanges(const OwnershipRecord& record, Duration earlier_grant_time,
@@ -445,9 +463,8 @@
 
 void KeyLeader::BecomeLeader(Instant now) {
   phase_ = Phase::kLeading;
-  // An earlier leader may go on granting keys until its authority ends.
-  LoadRanges(record_,
-             earlier_leader_stepped_down_ ? Duration{} : Duration{settings_.grant_authority}, now);
+  earlier_leaders_until_ = now + earlier_leaders_time_;
+  LoadRanges(record_, earlier_leaders_time_, now);
   next_placement_at_ = now + settings_.placement_interval;
   LogDecision("leading term=" + std::to_string(record_.term.value) +
               " ranges=" + std::to_string(ranges_.size()));
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -156,7 +156,7 @@
   // Replaces the ranges by those of the record. Earlier leaders may go on sending grants
   // for `earlier_grant_time` from now on.
   void LoadRanges(const OwnershipRecord& record, Duration earlier_grant_time, Instant now);
-  void StopLeading(const StoreView& store);
+  void StopLeading(const StoreView& store, Instant now);
   // The record whose grants another daemon may renew. It leaves out keys whose next
   // owner may already be named by a write that was not answered.
   OwnershipRecord RecordToHandOver() const;
@@ -172,7 +172,9 @@
   void StartMove(const KeyMove& move);
   // Joins adjacent ranges that have the same owner and token.
   void MergeAdjacentRanges();
-  void StartWrite(OwnershipRecord record);
+  void StartWrite(OwnershipRecord record, Instant now);
+  // Notes in the record what a leader that reads it has to wait for.
+  void SetWaits(OwnershipRecord& record, Instant now) const;
   // The record that describes the present ranges.
   OwnershipRecord CurrentRecord() const;
   // The endpoints that keys may be assigned to.
@@ -208,8 +210,10 @@
   // daemon may have become the leader.
   bool contested_ = false;
   Instant claimed_at_;
-  // Whether the record named no leader when this daemon claimed leadership.
-  bool earlier_leader_stepped_down_ = true;
+  // For how long after this daemon's claim earlier leaders may go on sending grants, and until when
+  // after it was written.
+  Duration earlier_leaders_time_{};
+  Instant earlier_leaders_until_;
   std::optional<Instant> leaderless_since_;
   bool stepping_down_ = false;
   std::vector<RangeState> ranges_;
--- a/src/core/key_leader_placement.cc
+++ b/src/core/key_leader_placement.cc
@@ -136,7 +136,7 @@
     next_assignment_write_at_ = now + settings_.write_interval;
     OwnershipRecord record = CurrentRecord();
     record.highest_token.value += 1;
-    StartWrite(std::move(record));
+    StartWrite(std::move(record), now);
   }
 }
 
--- a/src/core/ownership_record.h
+++ b/src/core/ownership_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   // The era of the store in which the record was written. A store that comes back with an older
   // copy holds a record of an earlier era than its own.
   StoreEra era;
+  // For how long after this write leaders before the named one, or before the one that stepped
+  // down, may go on sending grants.
+  std::chrono::milliseconds earlier_leaders_time{0};
   // Identifies this write, so that the leader recognizes it if its answer was lost.
   std::string change_id;
   // No key was granted with a token above this one.
--- a/src/router/record_codec.cc
+++ b/src/router/record_codec.cc
@@ -33,6 +33,11 @@
   return range;
 }
 
+std::chrono::milliseconds DecodeTime(const json& head, const char* field) {
+  constexpr std::int64_t kMaxTimeMs = 3'600'000;
+  return std::chrono::milliseconds{ParseOptionalWholeNumber(head, field, 0, 0, kMaxTimeMs)};
+}
+
 std::string EncodePiece(const OwnershipRecord& record, std::size_t piece_index) {
   json body{{"ranges", json::array()}, {"addresses", json::object()}};
   for (const OwnedRange& range : record.ranges) {
@@ -83,6 +88,7 @@
                       {"leader", record.leader.value()},
                       {"change", record.change_id},
                       {"era", record.era.value},
+                      {"earlier_leaders_ms", record.earlier_leaders_time.count()},
                       {"highest", record.highest_token.value},
                       {"pieces", std::move(hashes)}}
                      .dump();
@@ -96,8 +102,9 @@
     record.term = {head.at("term").get<std::uint64_t>()};
     record.leader = InstanceId{head.at("leader").get<std::string>()};
     record.change_id = head.at("change").get<std::string>();
-    // Earlier versions do not write it.
+    // Earlier versions do not write these.
     record.era = {head.value("era", std::uint64_t{0})};
+    record.earlier_leaders_time = DecodeTime(head, "earlier_leaders_ms");
     record.highest_token = {head.at("highest").get<std::uint64_t>()};
     for (std::size_t i = 0; i < kRecordPieces; ++i) {
       if (head.at("pieces").at(i).get<std::uint64_t>() != HashPiece(encoded.pieces[i])) {
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/key_simulation.h"
 
@@ -46,17 +47,21 @@
 
   void RunFor(Duration time) {
     StoreView view;
-    view.reachable = true;
-    view.reachable_since = now;
+    view.reachable = store_reachable;
+    view.reachable_since = reachable_since;
     view.daemons[Settings().self] = 1;
     for (const Instant end = now + time; now <= end; now += std::chrono::milliseconds{20}) {
       view.confirmed_at = now;
       leader.Tick(fleet, view, now);
       for (const KeyLeaderAction& action : leader.TakeActions()) {
         if (const auto* write = std::get_if<WriteOwnership>(&action)) {
-          record = write->record;
-          ++revision.value;
-          leader.HandleWriteResult(record.change_id, RecordWriteOutcome::kWritten, revision, now);
+          if (!take_write || !take_write(*write)) {
+            record = write->record;
+            ++revision.value;
+            leader.HandleWriteResult(record.change_id, RecordWriteOutcome::kWritten, revision, now);
+          }
+        } else if (const auto* hand_over = std::get_if<HandOver>(&action)) {
+          hand_overs.push_back(*hand_over);
         } else if (const auto* grant = std::get_if<SendGrant>(&action)) {
           if (!take_grant || !take_grant(*grant)) {
             leader.HandleOrderReply(grant->order, ReplyOf(grant->endpoint), now);
@@ -68,6 +73,15 @@
     }
   }
 
+  // Runs until this daemon leads, for some seconds at most. Returns whether it does.
+  bool RunUntilLeading() {
+    const Instant latest = now + std::chrono::seconds{10};
+    while (!leader.leading() && now < latest) {
+      RunFor({});
+    }
+    return leader.leading();
+  }
+
   OrderReply ReplyOf(const InstanceId& endpoint) const {
     OrderReply reply;
     if (fleet.Find(endpoint) != nullptr) {
@@ -91,9 +105,14 @@
     return settings;
   }
 
+  // Returns whether it took over the result of the write, which then does not succeed at once.
+  std::function<bool(const WriteOwnership&)> take_write;
+  std::vector<HandOver> hand_overs;
+  bool store_reachable = true;
   // Returns whether it took over the result of the grant, which is then not answered at once.
   std::function<bool(const SendGrant&)> take_grant;
   Instant now = Instant{} + std::chrono::hours{1};
+  Instant reachable_since = now;
   EndpointFleet fleet;
   OwnershipRecord record;
   Revision revision;
@@ -118,6 +137,10 @@
       {"writes with unknown outcome",
        {.writes_unanswered = 0.4, .writes_late = 0.3, .drains = 0.3}},
       {"daemons stopped during store outages", {.daemon_stops = 0.5, .store_outages = 0.2}},
+      {"daemons stopped in turn while a domain is cut off",
+       {.daemon_stops = 0.4, .domain_cuts = 0.1}},
+      {"daemons stopped in turn while a domain is cut off, store calls unanswered",
+       {.writes_unanswered = 0.3, .writes_late = 0.2, .daemon_stops = 0.4, .domain_cuts = 0.1}},
       {"daemons killed", {.daemon_kills = 0.5}},
       {"daemons partitioned from the store", {.store_partitions = 0.5, .lease_losses = 0.3}},
       {"daemons partitioned from endpoints", {.endpoint_partitions = 1.0, .lease_losses = 0.2}},
@@ -307,6 +330,92 @@
   }
 }
 
+// Guards against a leader that does not know of an earlier one, as the leader between the two has
+// stepped down: that one may be cut off from the others and still grant keys.
+TEST_CASE("a leader waits for every earlier leader that may still grant keys") {
+  using std::chrono::milliseconds;
+  struct Row {
+    const char* name;
+    const char* last_leader;
+    // For how long the leaders before the last one lead until each steps down.
+    std::vector<milliseconds> led_for;
+    // How long the earlier leaders may grant, after the first takeover.
+    milliseconds authority;
+  };
+  const Row rows[] = {
+      {"the last leader stepped down", "", {}, milliseconds{0}},
+      {"a leader stepped down after one that did", "", {milliseconds{300}}, milliseconds{0}},
+      {"the last leader is cut off", "cut-off", {}, milliseconds{8000}},
+      {"a leader stepped down after one that is cut off",
+       "cut-off",
+       {milliseconds{300}},
+       milliseconds{8000}},
+      {"two leaders stepped down after one that is cut off",
+       "cut-off",
+       {milliseconds{300}, milliseconds{700}},
+       milliseconds{8000}},
+      {"a leader stepped down late after one that is cut off",
+       "cut-off",
+       {milliseconds{7500}},
+       milliseconds{8000}},
+  };
+  // The way of a grant, and a lease by a clock that runs slow by 2 in 100.
+  constexpr milliseconds kLongestHold{2800 + 4080};
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    OwnershipRecord record;
+    record.term = {3};
+    record.leader = InstanceId{row.last_leader};
+    record.highest_token = {8};
+    record.ranges = {{{0, kKeyCount - 1}, InstanceId{"a"}, {}, {7}}};
+    record.addresses[InstanceId{"a"}] = {"10.0.0.1", 80};
+    Revision revision{5};
+    Instant now = Instant{} + std::chrono::hours{1};
+    std::optional<Instant> first_takeover;
+    std::optional<Instant> given_on_at;
+    for (std::size_t i = 0; i <= row.led_for.size(); ++i) {
+      SingleLeaderSetup setup;
+      setup.now = now;
+      setup.reachable_since = now - std::chrono::hours{1};
+      setup.AddEndpoint("a", "10.0.0.1");
+      setup.AddEndpoint("b", "10.0.0.2");
+      setup.take_grant = [&](const SendGrant& grant) {
+        if (grant.endpoint == InstanceId{"b"} && !given_on_at) {
+          given_on_at = setup.now;
+        }
+        if (grant.endpoint == InstanceId{"a"}) {
+          // The endpoint is cut off as well.
+          setup.leader.HandleOrderFailure(grant.order, false, setup.now);
+        }
+        return grant.endpoint == InstanceId{"a"};
+      };
+      setup.leader.ApplyRecord(record, revision, setup.now);
+      setup.revision = revision;
+      REQUIRE(setup.RunUntilLeading());
+      first_takeover = first_takeover.value_or(setup.now);
+      if (i < row.led_for.size()) {
+        setup.RunFor(row.led_for[i]);
+        setup.leader.StepDown();
+        setup.RunFor(milliseconds{100});
+        REQUIRE(setup.record.leader.empty());
+      } else {
+        while (!given_on_at && setup.now < now + std::chrono::seconds{40}) {
+          setup.RunFor({});
+        }
+      }
+      record = setup.record;
+      revision = setup.revision;
+      now = setup.now;
+    }
+    REQUIRE(given_on_at.has_value());
+    const auto waited = std::chrono::duration_cast<milliseconds>(*given_on_at - *first_takeover);
+    CHECK(waited.count() >= (row.authority + kLongestHold).count());
+    // Each takeover takes at most 400 ms here, and the last leader waits for its predecessor.
+    const milliseconds latest = row.authority + kLongestHold + milliseconds{1000};
+    CHECK(waited.count() <= latest.count() + (row.led_for.empty() ? 0 : row.led_for[0].count()));
+  }
+}
+
 TEST_CASE("moves that balance load cause no grants with an outdated token") {
   constexpr int kSeconds = 30;
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -26,6 +26,8 @@
 // The most that a restored store has lost.
 constexpr int kMaxLostMs = 12000;
 constexpr int kMaxRestoreOutageMs = 4000;
+constexpr int kMinCutMs = 8000;
+constexpr int kMaxCutMs = 15000;
 // Gaps are measured for one key in this many.
 constexpr KeyNumber kSampleInterval = 64;
 constexpr KeyNumber kSampleCount = kKeyCount / kSampleInterval;
@@ -440,11 +442,24 @@
     }
     Schedule(outage_ms, [this] { RestoreOlderRecord(); });
   }
+  if (faults_.domain_cuts > 0 && occurs(faults_.domain_cuts)) {
+    CutDomain(daemon, endpoint);
+  }
   if (occurs(faults_.drains)) {
     endpoint.draining = !endpoint.draining;
   }
 }
 
+void KeySimulation::CutDomain(FakeDaemon& daemon, const FakeEndpoint& endpoint) {
+  const std::int64_t until_ms = now_ms_ + kMinCutMs + RandomBelow(kMaxCutMs - kMinCutMs);
+  daemon.store_partition_until_ms = until_ms;
+  Schedule(kSecondMs, [&daemon, until_ms] { daemon.without_lease_until_ms = until_ms; });
+  for (FakeDaemon& each : daemons_) {
+    std::int64_t& partition_until_ms = each.endpoint_partition_until_ms[endpoint.id];
+    partition_until_ms = &each == &daemon ? 0 : until_ms;
+  }
+}
+
 void KeySimulation::Step(bool with_faults) {
   now_ms_ += kStepMs;
   if (with_faults) {
--- a/tests/core/key_simulation.h
+++ b/tests/core/key_simulation.h
@@ -38,6 +38,8 @@
   double drains = 0;
   double lease_losses = 0;
   double freezes = 0;
+  // Times in which a daemon and an endpoint reach each other, but neither the store nor the others.
+  double domain_cuts = 0;
   // Outages after which the store has an older copy of its contents.
   double store_restores = 0;
 };
@@ -121,6 +123,8 @@
   void ExecuteActions(FakeDaemon& daemon);
   void WriteRecord(FakeDaemon& daemon, const WriteOwnership& write);
   bool ApplyWrite(const WriteOwnership& write);
+  // Cuts the daemon and the endpoint off from the store and from the other daemons.
+  void CutDomain(FakeDaemon& daemon, const FakeEndpoint& endpoint);
   // The store goes back to the record of some seconds ago; leases are lost.
   void RestoreOlderRecord();
   void DeliverGrant(FakeDaemon& daemon, const SendGrant& order);
