Hand nothing over after a step-down that may have been written

From the review, by reading, and shown by the new test, which failed before: a leader that wrote that it stepped down, got no answer and lost the store asked another daemon to renew its grants. The next leader sees the step-down and does not wait for those grants, so that a key could have two owners. A write that is known not to have been carried out changes nothing.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -308,8 +308,13 @@
   return record;
 }
 
+bool KeyLeader::MayHaveSteppedDown() const {
+  const bool certainly_not_written = write_retry_at_ && !write_outcome_unknown_;
+  return pending_write_ && pending_write_->leader.empty() && !certainly_not_written;
+}
+
 void KeyLeader::StopLeading(const StoreView& store, Instant now) {
-  if (!store.reachable) {
+  if (!store.reachable && !MayHaveSteppedDown()) {
     LogDecision("handing over renewals term=" + std::to_string(record_.term.value) +
                 ": the store is unreachable");
     OwnershipRecord record = RecordToHandOver();
@@ -328,7 +333,9 @@
 }
 
 void KeyLeader::AcceptHandOver(const OwnershipRecord& record, Instant confirmed_at, Instant now) {
-  if (phase_ != Phase::kFollowing || record.term < record_.term || stepping_down_) {
+  const bool has_stepped_down = record.term == record_.term && record_.leader.empty();
+  const bool outdated = record.term < record_.term || has_stepped_down;
+  if (phase_ != Phase::kFollowing || outdated || stepping_down_) {
     return;
   }
   LogDecision("acting as leader term=" + std::to_string(record.term.value) +
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -157,6 +157,9 @@
   // for `earlier_grant_time` from now on.
   void LoadRanges(const OwnershipRecord& record, Duration earlier_grant_time, Instant now);
   void StopLeading(const StoreView& store, Instant now);
+  // Whether the pending write, which may have been applied, says that this leader has stepped down.
+  // Another daemon may then lead already.
+  bool MayHaveSteppedDown() const;
   // The record whose grants another daemon may renew. It leaves out keys whose next
   // owner may already be named by a write that was not answered.
   OwnershipRecord RecordToHandOver() const;
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -416,6 +416,34 @@
   }
 }
 
+// Guards against two daemons that renew grants: the one that was asked to, and the next leader,
+// which has seen that the last one stepped down.
+TEST_CASE("a leader whose stepping down may have been written hands nothing over") {
+  struct Row {
+    const char* name;
+    RecordWriteOutcome outcome;
+    std::size_t hand_overs;
+  };
+  const Row rows[] = {{"certainly not written", RecordWriteOutcome::kNotWritten, 1},
+                      {"unknown", RecordWriteOutcome::kUnknown, 0}};
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    SingleLeaderSetup setup;
+    setup.AddEndpoint("a", "10.0.0.1");
+    setup.RunFor(std::chrono::seconds{5});
+    REQUIRE(setup.leader.leading());
+    setup.take_write = [&](const WriteOwnership& write) {
+      setup.leader.HandleWriteResult(write.record.change_id, row.outcome, {}, setup.now);
+      return true;
+    };
+    setup.leader.StepDown();
+    setup.RunFor(std::chrono::milliseconds{20});
+    setup.store_reachable = false;
+    setup.RunFor(std::chrono::seconds{1});
+    CHECK(setup.hand_overs.size() == row.hand_overs);
+  }
+}
+
 TEST_CASE("moves that balance load cause no grants with an outdated token") {
   constexpr int kSeconds = 30;
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
