A leader after one that waits for lost changes waits for them too

A claim in a new era of the store marks the record as of that era, so that the next leader did not know that changes may have been lost. The record says for how long they may have effect, and a write removes that afterwards.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -172,6 +172,8 @@
     return std::chrono::ceil<std::chrono::milliseconds>(std::max(until - now, Duration{}));
   };
   record.earlier_leaders_time = time_until(earlier_leaders_until_);
+  record.lost_changes_time = time_until(lost_grants_until_);
+  record.lacks_changes = holders_unknown_ && now < lost_grants_until_;
 }
 
 void KeyLeader::StartWrite(OwnershipRecord record, Instant now) {
@@ -276,6 +278,7 @@
   if (must_wait || !MaySendOrders(store, now)) {
     return;
   }
+  WriteEndOfLostChanges(now);
   if (ranges_.empty()) {
     CreateInitialAssignment(fleet, now);
   }
@@ -285,6 +288,13 @@
   MergeAdjacentRanges();
 }
 
+void KeyLeader::WriteEndOfLostChanges(Instant now) {
+  const bool noted = record_.lost_changes_time > Duration{};
+  if (noted && now >= lost_grants_until_ && !pending_write_) {
+    StartWrite(CurrentRecord(), now);
+  }
+}
+
 void KeyLeader::UpdateAddresses(const EndpointFleet& fleet) {
   for (const auto& [id, each] : fleet.EndpointsOfService(settings_.service)) {
     addresses_[each->entry.id] = each->entry.address;
@@ -434,7 +444,7 @@
   // any before it. One that did knew how long others may.
   earlier_leaders_time_ = record.leader.empty() ? Duration{record.earlier_leaders_time}
                                                 : Duration{settings_.grant_authority};
-  holders_unknown_ = MayLackChanges();
+  LearnLostChanges(now);
   RaiseToPresentEra(record);
   record.term.value += 1;
   record.leader = settings_.self;
@@ -450,6 +460,11 @@
   StartWrite(std::move(record), now);
 }
 
+void KeyLeader::LearnLostChanges(Instant now) {
+  holders_unknown_ = MayLackChanges() || record_.lacks_changes;
+  lost_grants_until_ = std::max(lost_grants_until_, now + record_.lost_changes_time);
+}
+
 void KeyLeader::LoadRanges(const OwnershipRecord& record, Duration earlier_grant_time,
                            Instant now) {
   ranges_.clear();
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -135,6 +135,9 @@
   // initial assignment.
   bool EndpointListIsStable(const EndpointFleet& fleet, Instant now);
   void ClaimLeadership(Instant now);
+  // Takes over from the known record how long endpoints may hold keys by changes of it that the
+  // store lost, and whether these are unknown here.
+  void LearnLostChanges(Instant now);
   // Makes the pending write the known record.
   void ApplyCompletedWrite(Revision revision, Instant now);
   void RetryWrite(Instant now);
@@ -176,6 +179,9 @@
   // Joins adjacent ranges that have the same owner and token.
   void MergeAdjacentRanges();
   void StartWrite(OwnershipRecord record, Instant now);
+  // Writes the record anew once changes that the store lost have no effect any more, so that no
+  // later leader waits for them.
+  void WriteEndOfLostChanges(Instant now);
   // Notes in the record what a leader that reads it has to wait for.
   void SetWaits(OwnershipRecord& record, Instant now) const;
   // The record that describes the present ranges.
--- a/src/core/ownership_record.h
+++ b/src/core/ownership_record.h
@@ -32,6 +32,10 @@
   // For how long after this write leaders before the named one, or before the one that stepped
   // down, may go on sending grants.
   std::chrono::milliseconds earlier_leaders_time{0};
+  // For how long after this write endpoints may hold keys by changes that the store lost, and
+  // whether those changes are unknown to the leader.
+  std::chrono::milliseconds lost_changes_time{0};
+  bool lacks_changes = false;
   // Identifies this write, so that the leader recognizes it if its answer was lost.
   std::string change_id;
   // No key was granted with a token above this one.
--- a/src/router/record_codec.cc
+++ b/src/router/record_codec.cc
@@ -89,6 +89,8 @@
                       {"change", record.change_id},
                       {"era", record.era.value},
                       {"earlier_leaders_ms", record.earlier_leaders_time.count()},
+                      {"lost_changes_ms", record.lost_changes_time.count()},
+                      {"lacks_changes", record.lacks_changes},
                       {"highest", record.highest_token.value},
                       {"pieces", std::move(hashes)}}
                      .dump();
@@ -105,6 +107,8 @@
     // Earlier versions do not write these.
     record.era = {head.value("era", std::uint64_t{0})};
     record.earlier_leaders_time = DecodeTime(head, "earlier_leaders_ms");
+    record.lost_changes_time = DecodeTime(head, "lost_changes_ms");
+    record.lacks_changes = head.value("lacks_changes", false);
     record.highest_token = {head.at("highest").get<std::uint64_t>()};
     for (std::size_t i = 0; i < kRecordPieces; ++i) {
       if (head.at("pieces").at(i).get<std::uint64_t>() != HashPiece(encoded.pieces[i])) {
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -444,6 +444,58 @@
   }
 }
 
+// Guards against a leader that grants keys although changes of the record, unknown to it and to
+// the leader before it, were lost with the store's contents.
+TEST_CASE("a leader that takes over while lost changes may have effect waits as well") {
+  using std::chrono::milliseconds;
+  OwnershipRecord restored;
+  restored.term = {3};
+  restored.leader = InstanceId{"lost"};
+  restored.era = {1};
+  restored.highest_token = {8};
+  restored.ranges = {{{0, kKeyCount - 1}, InstanceId{"a"}, {}, {7}}};
+  for (const bool steps_down : {true, false}) {
+    CAPTURE(steps_down);
+    SingleLeaderSetup first;
+    first.AddEndpoint("a", "10.0.0.1");
+    first.leader.ApplyRecord(restored, {5, {2}}, first.now);
+    first.revision = {5, {2}};
+    const Instant restored_at = first.now;
+    REQUIRE(first.RunUntilLeading());
+    if (steps_down) {
+      first.leader.StepDown();
+      first.RunFor(milliseconds{100});
+      REQUIRE(first.record.leader.empty());
+    }
+
+    SingleLeaderSetup next;
+    next.now = first.now;
+    next.reachable_since = first.reachable_since;
+    next.AddEndpoint("a", "10.0.0.1");
+    std::optional<Instant> granted_at;
+    next.take_grant = [&](const SendGrant&) {
+      granted_at = granted_at.value_or(next.now);
+      return false;
+    };
+    OwnershipRecord record = first.record;
+    if (!steps_down) {
+      record.leader = InstanceId{"lost-too"};
+    }
+    next.leader.ApplyRecord(record, first.revision, next.now);
+    next.revision = first.revision;
+    while (!granted_at && next.now < restored_at + std::chrono::seconds{60}) {
+      next.RunFor({});
+    }
+    REQUIRE(granted_at.has_value());
+    // Leaders of the earlier era may grant for 8 s; then the way of a grant and a lease.
+    CHECK(*granted_at - restored_at >= milliseconds{8000 + 2800 + 4080});
+    // Later leaders do not wait for it any more.
+    next.RunFor(std::chrono::seconds{1});
+    CHECK(next.record.lost_changes_time == milliseconds{0});
+    CHECK_FALSE(next.record.lacks_changes);
+  }
+}
+
 TEST_CASE("moves that balance load cause no grants with an outdated token") {
   constexpr int kSeconds = 30;
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
