Repeat calls to the store that were lost in a silence once it answers

Cause: a call that is sent into a silence is never answered, and is waited for until its timeout, which doubles to 3.6 s for a watch. The log of the new router test shows it: the watch that was sent in the silence after the first one had failed was never answered.

While an answer is missing, a daemon now sends small probes over new connections; once one is answered, all calls sent before it without a byte of an answer are given up and repeated. That holds for reads, watches, writes and leases, and needs no peer that heard of the store's return. A store that answers small calls faster than large ones gets longer each time.

--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -70,6 +70,11 @@
   }
 }
 
+bool ConnectionPool::HasAnswerBegun(const CallHandle& handle) {
+  const auto connection = handle.lock();
+  return connection && connection->answering();
+}
+
 void ConnectionPool::CloseIdleConnections(const std::string& peer) {
   const auto found = peers_.find(peer);
   if (found == peers_.end()) {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -26,6 +26,8 @@
                   Instant now, HttpConnection::Callback callback);
   // Cancels a running call without calling back and resets its connection.
   static void Cancel(const CallHandle& handle);
+  // Whether a byte of the answer to a running call has arrived.
+  static bool HasAnswerBegun(const CallHandle& handle);
   // Closes the idle connections of a peer.
   void CloseIdleConnections(const std::string& peer);
   // Fails calls that have timed out and closes connections that have been idle for too long.
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -108,6 +108,8 @@
   bool closed() const { return phase_ == Phase::kClosed; }
   // Whether an earlier call was answered over this connection.
   bool reused() const { return answered_calls_ > 0; }
+  // Whether a byte of the running call's answer has arrived.
+  bool answering() const { return answer_began_at_.has_value(); }
   // Whether bytes of an idle connection, or its end, have arrived and were not yet read.
   bool HasUnreadInput();
   // Whether a request with this id was sent over this connection, so that an answer to that one
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -28,6 +28,9 @@
   kBadAnswer,
   // The answer was larger than the call accepts.
   kTooLarge,
+  // No answer came, although the store answered a call that was sent later: it may have been
+  // executed, or may still be.
+  kGivenUp,
 };
 
 // Returns the error category of StoreError.
@@ -128,6 +131,7 @@
   using ChangesCallback = std::function<void(std::error_code, Changes)>;
   using CommitCallback = std::function<void(std::error_code, Revision)>;
   using LeaseCallback = std::function<void(std::error_code, LeaseId)>;
+  using ProbeCallback = std::function<void(std::error_code)>;
 
   // The latest era in which the store has answered a call; 0 if it has told none.
   virtual StoreEra era() const = 0;
@@ -140,6 +144,13 @@
                      ChangesCallback callback) = 0;
   // Abandons running reads and watches; their callbacks do not run.
   virtual void AbandonReads() = 0;
+  // When the answer was due that has been missing for longest, of all calls of which no byte of the
+  // answer has arrived; empty if none is missing.
+  virtual std::optional<Instant> OldestMissingAnswer(Instant now) const = 0;
+  // Sends a small call over a new connection to learn whether the store answers.
+  virtual void Probe(ProbeCallback callback) = 0;
+  // Gives up the calls sent by then of whose answers no byte has arrived; they fail with kGivenUp.
+  virtual void GiveUpUnanswered(Instant sent_by) = 0;
   // Applies a transaction; the callback gets its revision. Fails with kConflict if a condition
   // does not hold. One with conditions or leases of an earlier era fails with kRefused, or, if the
   // store executed it before the new era was known here, with kNoAnswer.
--- a/src/store/store_error.cc
+++ b/src/store/store_error.cc
@@ -25,6 +25,8 @@
         return "answer not understood";
       case StoreError::kTooLarge:
         return "answer too large";
+      case StoreError::kGivenUp:
+        return "no answer, but to a later call";
     }
     return "unknown";
   }
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -23,6 +23,11 @@
 constexpr std::chrono::milliseconds kOutageSilence{2000};
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
+// An answer counts as missing this long after it was due. The time doubles with each call given up
+// in vain, as the store may answer small calls much faster than large ones.
+constexpr std::chrono::milliseconds kMinProbeDelay{400};
+constexpr std::chrono::milliseconds kMaxProbeDelay{3200};
+constexpr std::chrono::milliseconds kProbeInterval{400};
 // After a longer gap all contents are read, which is less data than all changes since.
 constexpr std::chrono::milliseconds kMaxWatchGap{4000};
 // Relayed updates no longer replace the watch if none came for kMaxUpdateSilence, or if the
@@ -56,6 +61,9 @@
   return "unknown";
 }
 
+StoreWatcher::StoreWatcher(Store& store, StoreObserver& observer, Clock clock)
+    : store_(store), observer_(observer), clock_(clock), probe_delay_(kMinProbeDelay) {}
+
 bool StoreWatcher::HasFreshUpdates(Instant now) const {
   return !watching_ && now - last_update_at_ < kMaxUpdateSilence &&
          now - last_answer_at_ < kMaxAnswerAge &&
@@ -115,6 +123,25 @@
   next_call_at_ = now;
 }
 
+void StoreWatcher::ProbeIfDue(Instant now) {
+  const auto due_at = store_.OldestMissingAnswer(now);
+  if (!due_at || now - *due_at < probe_delay_ || now < next_probe_at_) {
+    return;
+  }
+  next_probe_at_ = now + kProbeInterval;
+  store_.Probe([this, now](std::error_code error) { HandleProbeResult(error, now); });
+}
+
+void StoreWatcher::HandleProbeResult(std::error_code error, Instant sent_at) {
+  const auto due_at = store_.OldestMissingAnswer(clock_());
+  if (error || !due_at || *due_at > sent_at - probe_delay_) {
+    return;
+  }
+  // The silence began before that call was answered, so what was sent after it may be lost too.
+  store_.GiveUpUnanswered(sent_at);
+  probe_delay_ = std::min(probe_delay_ * 2, kMaxProbeDelay);
+}
+
 void StoreWatcher::RecordPeerProgress(Instant now) {
   peer_progress_at_ = now;
   if (std::exchange(sent_in_outage_, false)) {
@@ -125,6 +152,7 @@
 void StoreWatcher::Tick(Instant now) {
   ObserveEra(store_.era());
   AbandonUselessCall(now);
+  ProbeIfDue(now);
   if (call_pending_ || now < next_call_at_ || (!reload_needed_ && HasFreshUpdates(now))) {
     return;
   }
@@ -308,11 +336,16 @@
   last_arrival_at_ = now;
   next_call_at_ = now + delay;
   consecutive_failures_ = 0;
+  probe_delay_ = kMinProbeDelay;
   SetReachable(now);
 }
 
 void StoreWatcher::RecordFailure(std::error_code error) {
   const Instant now = clock_();
+  if (error == StoreError::kGivenUp) {
+    next_call_at_ = now;
+    return;
+  }
   next_call_at_ =
       now + kInitialRetryDelay * (1U << std::min(consecutive_failures_, kMaxBackoffDoublings));
   ++consecutive_failures_;
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -59,12 +59,15 @@
 // Store calls cost money, so only one daemon per domain has to watch. The others rely on the
 // updates that it relays, and call the store themselves while updates are late, outdated or
 // incomplete. In a new era of the store each daemon reads all items for itself.
+//
+// A call that was sent into a silence is never answered. While an answer is missing, small probes
+// are sent; once one is answered, all calls whose answers are missing are given up and repeated. So
+// the length of timeouts, which a slow store or link needs, does not delay what follows a silence.
 class StoreWatcher {
  public:
   using Clock = Instant (*)();
 
-  StoreWatcher(Store& store, StoreObserver& observer, Clock clock)
-      : store_(store), observer_(observer), clock_(clock) {}
+  StoreWatcher(Store& store, StoreObserver& observer, Clock clock);
 
   // Starts the next store call if one is due, and abandons a slow one that updates have replaced.
   void Tick(Instant now);
@@ -123,6 +126,10 @@
   void AbandonUselessCall(Instant now);
   // Gives up the pending call, if there is one; the next one may follow at once.
   void AbandonCall(Instant now);
+  // Probes the store if an answer has been missing for some time.
+  void ProbeIfDue(Instant now);
+  // Gives up calls that a store which answers again has never got, so that they can be repeated.
+  void HandleProbeResult(std::error_code error, Instant sent_at);
   // Why the store is called, for the log.
   const char* CallReason(Instant now) const;
   // The size beyond which an answer to a watch takes longer than a read of everything.
@@ -155,6 +162,9 @@
   const char* call_reason_ = "";
   Revision call_sent_revision_;
   Instant next_call_at_;
+  Instant next_probe_at_;
+  // How long an answer has to be missing before the store is probed.
+  std::chrono::milliseconds probe_delay_;
   Instant confirmed_at_;
   Instant last_answer_at_;
   // When the latest answer or complete update arrived.
--- a/tests/fakes/fault_proxy.cc
+++ b/tests/fakes/fault_proxy.cc
@@ -107,6 +107,11 @@
     // Writes the bytes after the delay, and only once no fault blocks this direction.
     void WriteWhenUnblocked(const std::shared_ptr<Connection>& owner, std::size_t size,
                             std::chrono::nanoseconds delay) {
+      owner->has_lost_bytes_ = owner->has_lost_bytes_ || owner->proxy_.fault_ == ProxyFault::kLost;
+      if (owner->has_lost_bytes_) {
+        Read(owner);
+        return;
+      }
       if (delay.count() == 0 && !IsBlocked(owner->proxy_.fault_)) {
         Write(owner, size);
         return;
@@ -145,6 +150,7 @@
   };
 
   FaultProxy& proxy_;
+  bool has_lost_bytes_ = false;
   tcp::socket client_;
   tcp::socket target_;
   Direction to_target_{*this, client_, target_, false};
--- a/tests/fakes/fault_proxy.h
+++ b/tests/fakes/fault_proxy.h
@@ -23,6 +23,8 @@
   kSilent,
   // Only bytes sent to the target pass.
   kAnswersLost,
+  // Bytes are lost, and what is sent later over the same connections as well.
+  kLost,
 };
 
 // Loopback TCP proxy that injects faults on the way to a target. As on a network, bytes
--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -7,7 +7,10 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <vector>
 
+#include "clock/system_clock.h"
+#include "fakes/fault_proxy.h"
 #include "fakes/key_value_store.h"
 
 using namespace sycamorestall;            // NOLINT
@@ -127,3 +130,56 @@
   setup.client.EndLease(lost);
   CHECK(!setup.RenewLease(of_another_daemon).error);
 }
+
+// Guards against callers that stay deaf after a silence: a call of any kind that the store has
+// never got must not be waited for until its timeout once the store answers again.
+TEST_CASE("calls of every kind that a silent store has never got are given up") {
+  fakes::KeyValueStore store;
+  fakes::FaultProxy proxy{store.address()};
+  boost::asio::io_context context{1};
+  ConnectionPool pool{context};
+  KvStore client{pool, proxy.address()};
+  std::vector<std::error_code> ends;
+  const auto note_end = [&ends](std::error_code error, const auto&... /*result*/) {
+    ends.push_back(error);
+  };
+  const auto run_until = [&](const auto& done) {
+    const Instant latest = BootNow() + std::chrono::seconds{1};
+    while (!done() && BootNow() < latest) {
+      context.restart();
+      context.run_for(milliseconds{5});
+    }
+    return done();
+  };
+  bool answered = false;
+  const auto note_answer = [&answered](std::error_code error) { answered = !error; };
+  client.Probe(note_answer);
+  REQUIRE(run_until([&] { return answered; }));
+  CHECK_FALSE(client.OldestMissingAnswer(BootNow()).has_value());
+
+  proxy.SetFault(fakes::ProxyFault::kLost);
+  client.ReadAll(note_end);
+  client.Watch({1}, milliseconds{0}, 1 << 20, note_end);
+  client.Commit({{}, {{"key", "value", {}}}, {}}, note_end);
+  client.OpenLease(std::chrono::seconds{5}, note_end);
+  client.RenewLease({1, client.era()}, note_end);
+  answered = false;
+  client.Probe(note_answer);
+  CHECK_FALSE(run_until([&] { return answered || !ends.empty(); }));
+  CHECK(client.OldestMissingAnswer(BootNow()).has_value());
+
+  proxy.SetFault(fakes::ProxyFault::kNone);
+  client.Probe(note_answer);
+  REQUIRE(run_until([&] { return answered; }));
+  CHECK(ends.empty());
+  client.GiveUpUnanswered(BootNow());
+  CHECK(run_until([&] { return ends.size() == 5; }));
+  for (const std::error_code& each : ends) {
+    CHECK(each == StoreError::kGivenUp);
+  }
+  CHECK_FALSE(client.OldestMissingAnswer(BootNow()).has_value());
+  ends.clear();
+  client.ReadAll(note_end);
+  CHECK(run_until([&] { return ends.size() == 1; }));
+  CHECK(ends == std::vector{std::error_code{}});
+}
--- a/tests/router/store_watching_test.cc
+++ b/tests/router/store_watching_test.cc
@@ -38,6 +38,33 @@
   CHECK(deployment.ServesPumpsWithin(1, "/later/", milliseconds{2000}));
 }
 
+// Guards against daemons that stay deaf after an outage, as they wait for the answer to a call that
+// the store has never got.
+TEST_CASE("a configuration acknowledged before a silence of the store takes effect soon after it") {
+  RouterDeployment deployment{2, 1, 1, ConnectionKind::kProxied};
+  REQUIRE(deployment.WaitUntilServed());
+  int version = 2;
+  for (const int silent_ms : {300, 1200, 1900, 2070, 2400, 3100, 4300}) {
+    CAPTURE(silent_ms);
+    std::this_thread::sleep_for(kSettleTime);
+    const std::string prefix = "/version-" + std::to_string(version) + "/";
+    for (const std::size_t daemon : {0, 1}) {
+      deployment.StoreProxy(daemon).SetFault(ProxyFault::kLost);
+    }
+    deployment.WriteConfig(version++, prefix);
+    std::this_thread::sleep_for(milliseconds{silent_ms});
+    for (const std::size_t daemon : {0, 1}) {
+      deployment.StoreProxy(daemon).SetFault(ProxyFault::kNone);
+    }
+    const auto back_at = std::chrono::steady_clock::now();
+    for (const std::size_t daemon : {0, 1}) {
+      const auto elapsed =
+          std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - back_at);
+      CHECK(deployment.ServesPumpsWithin(daemon, prefix, milliseconds{2000} - elapsed));
+    }
+  }
+}
+
 TEST_CASE("a configuration acknowledged after the store came back older takes effect in time") {
   RouterDeployment deployment{2, 1, 1};
   REQUIRE(deployment.WaitUntilServed());
--- a/tests/store/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -25,6 +25,23 @@
     read_callback_ = nullptr;
     watch_callback_ = nullptr;
   }
+  std::optional<Instant> OldestMissingAnswer(Instant now) const override {
+    const bool missing = (reading() || watching()) && now >= answer_due_at_;
+    return missing ? std::optional{answer_due_at_} : std::nullopt;
+  }
+  void Probe(ProbeCallback callback) override {
+    ++probe_count_;
+    if (answers_probes_) {
+      callback({});
+    }
+  }
+  void GiveUpUnanswered(Instant /*sent_by*/) override {
+    if (reading()) {
+      AnswerRead({}, StoreError::kGivenUp);
+    } else if (watching()) {
+      AnswerWatch({}, StoreError::kGivenUp);
+    }
+  }
   void Commit(const StoreTransaction& /*transaction*/, CommitCallback /*callback*/) override {}
   void OpenLease(std::chrono::milliseconds /*time_to_live*/, LeaseCallback /*callback*/) override {}
   void RenewLease(LeaseId /*lease*/, LeaseCallback /*callback*/) override {}
@@ -39,6 +56,10 @@
   }
   // Sets the era that answers to other calls have told.
   void SetEra(StoreEra era) { era_ = era; }
+  // Sets when the answer to the pending call is due, and whether probes are answered.
+  void SetAnswerDueAt(Instant due_at) { answer_due_at_ = due_at; }
+  void SetAnswersProbes(bool answers) { answers_probes_ = answers; }
+  int probe_count() const { return probe_count_; }
   // Whether a read or watch waits for its answer.
   bool reading() const { return read_callback_ != nullptr; }
   bool watching() const { return watch_callback_ != nullptr; }
@@ -49,6 +70,9 @@
 
  private:
   StoreEra era_;
+  Instant answer_due_at_ = Instant::max();
+  bool answers_probes_ = false;
+  int probe_count_ = 0;
   int read_count_ = 0;
   int watch_count_ = 0;
   Revision last_watch_revision_;
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "store/scripted_store.h"
 
@@ -440,3 +441,61 @@
           calls + (row.repeated ? 1 : 0));
   }
 }
+
+// Guards against a daemon that stays deaf after a silence of the store, as it waits for the answer
+// to a call that the store has never got.
+TEST_CASE("a call sent into a silence is repeated as soon as the store answers") {
+  struct Row {
+    const char* name;
+    bool reads;
+    int answers_after_ms;
+  };
+  const Row rows[] = {
+      {"a watch, soon", false, 500}, {"a watch, later", false, 3300},  {"a read, soon", true, 500},
+      {"a read, later", true, 3300}, {"a watch, at once", false, 100},
+  };
+  // The time without an answer after which the store is probed, and the time between two probes.
+  constexpr milliseconds kLongestDelay{400 + 40};
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    UpdateReceiver receiver;
+    receiver.watcher.SetWatching(true);
+    if (row.reads) {
+      receiver.watcher.ObserveEra({2});
+    }
+    receiver.Advance(milliseconds{20});
+    REQUIRE(receiver.store.reading() == row.reads);
+    const int calls = receiver.store.read_count() + receiver.store.watch_count();
+    receiver.store.SetAnswerDueAt(g_now);
+    receiver.Advance(milliseconds{row.answers_after_ms});
+    CHECK(receiver.store.read_count() + receiver.store.watch_count() == calls);
+    receiver.store.SetAnswersProbes(true);
+    receiver.Advance(kLongestDelay);
+    CHECK(receiver.store.read_count() + receiver.store.watch_count() == calls + 1);
+    CHECK(receiver.store.reading() == row.reads);
+  }
+}
+
+TEST_CASE("a store that answers small calls faster than others gets ever longer to answer") {
+  UpdateReceiver receiver;
+  receiver.watcher.SetWatching(true);
+  receiver.store.SetAnswersProbes(true);
+  int calls = 0;
+  Instant called_at;
+  std::vector<milliseconds> waited;
+  const Instant end = g_now + std::chrono::seconds{20};
+  while (g_now < end) {
+    receiver.Advance(milliseconds{20});
+    if (receiver.store.watch_count() + receiver.store.read_count() > calls) {
+      calls = receiver.store.watch_count() + receiver.store.read_count();
+      waited.push_back(std::chrono::duration_cast<milliseconds>(g_now - called_at));
+      called_at = g_now;
+      receiver.store.SetAnswerDueAt(g_now);
+    }
+  }
+  REQUIRE(waited.size() > 5);
+  CHECK(waited[1] < milliseconds{600});
+  CHECK(waited[3] > waited[2]);
+  CHECK(waited.back() > milliseconds{3000});
+  receiver.store.SetAnswerDueAt(Instant::max());
+}
