Refuse a request that has crashed three endpoints, at every daemon

Cause: each attempt was judged by itself, and nothing was remembered of the request. CrashingRequests remembers by a fingerprint of the request at which runs of endpoints it was when they crashed, daemons tell each other, and after three crashes without an answer in between it is refused with 503 and the time to retry. A broken call alone is no crash: the run has to have ended, and an endpoint that answers anything within a second has not crashed.

The daemons of router tests inherited the endpoints' listening sockets, so that the port of a crashed endpoint stayed open; they close them now.

--- /dev/null
+++ b/src/core/crashing_requests.cc
@@ -0,0 +1,152 @@
+#include "core/crashing_requests.h"
+
+#include <algorithm>
+
+namespace sycamorestall {
+
+namespace {
+
+// A request that has crashed this many endpoints is not sent any more.
+constexpr std::size_t kCrashesUntilBlocked = 3;
+// For how long after its last crash, and for how long that is remembered: until then one more crash
+// blocks the request again.
+constexpr std::chrono::minutes kBlockTime{10};
+constexpr std::chrono::minutes kCrashMemory{20};
+// An endpoint that answers within this time after it broke a call has not crashed; later, it may
+// have started again.
+constexpr std::chrono::milliseconds kRestartTime{1000};
+// A suspected crash counts like a certain one after this time without an answer of the endpoint, if
+// the request has crashed others for certain.
+constexpr std::chrono::milliseconds kSuspicionDelay{500};
+// An endpoint that has not ended by then has not crashed.
+constexpr std::chrono::seconds kSuspicionMemory{10};
+// How long a crash is reported with each message, and how often those are that may count later.
+constexpr std::chrono::seconds kReportTime{2};
+constexpr std::chrono::seconds kFullReportInterval{2};
+constexpr std::size_t kMaxReports = 64;
+// Old entries make room for new ones.
+constexpr std::size_t kMaxRequests = 1024;
+
+Instant LatestCrash(const std::map<EndpointRun, Instant>& crashes) {
+  Instant latest;
+  for (const auto& [run, crashed_at] : crashes) {
+    latest = std::max(latest, crashed_at);
+  }
+  return latest;
+}
+
+std::uint32_t MillisecondsSince(Instant then, Instant now) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count());
+}
+
+}  // namespace
+
+void CrashingRequests::RecordBreak(RequestFingerprint request, const EndpointRun& run,
+                                   Instant now) {
+  if (suspicions_.size() >= kMaxRequests) {
+    suspicions_.erase(suspicions_.begin());
+  }
+  suspicions_.push_back({request, run, now});
+}
+
+void CrashingRequests::RecordAnswer(const InstanceId& endpoint, Instant now) {
+  std::erase_if(suspicions_, [&](const Suspicion& each) {
+    return each.run.endpoint == endpoint && now - each.broke_at < kRestartTime;
+  });
+}
+
+void CrashingRequests::RecordCompletion(RequestFingerprint request, Instant now) {
+  std::erase_if(suspicions_, [&](const Suspicion& each) { return each.request == request; });
+  if (crashes_.erase(request) > 0) {
+    completed_at_[request] = now;
+  }
+}
+
+template <typename Matches>
+void CrashingRequests::ConfirmSuspicions(Matches matches) {
+  for (const Suspicion& each : suspicions_) {
+    if (matches(each)) {
+      AddCrash(each.request, each.run, each.broke_at);
+    }
+  }
+  std::erase_if(suspicions_, matches);
+}
+
+void CrashingRequests::RecordEnd(const EndpointRun& run, Instant now) {
+  DiscardOld(now);
+  ConfirmSuspicions([&run](const Suspicion& each) { return each.run == run; });
+}
+
+void CrashingRequests::RecordRefusal(const InstanceId& endpoint, Instant now) {
+  DiscardOld(now);
+  // An endpoint that limits its connections may refuse one while it serves others.
+  ConfirmSuspicions([&](const Suspicion& each) {
+    return each.run.endpoint == endpoint && now - each.broke_at >= kSuspicionDelay;
+  });
+}
+
+void CrashingRequests::AddCrash(RequestFingerprint request, const EndpointRun& run,
+                                Instant crashed_at) {
+  const auto completed = completed_at_.find(request);
+  if (completed != completed_at_.end() && crashed_at <= completed->second) {
+    return;
+  }
+  if (crashes_.size() < kMaxRequests || crashes_.contains(request)) {
+    crashes_[request].emplace(run, crashed_at);
+  }
+}
+
+void CrashingRequests::ApplyReport(const CrashReport& report, Instant now) {
+  AddCrash(report.request, report.run, now - std::chrono::milliseconds{report.ms_ago});
+}
+
+Duration CrashingRequests::BlockedFor(RequestFingerprint request, Instant now) const {
+  const auto found = crashes_.find(request);
+  if (found == crashes_.end()) {
+    return {};
+  }
+  std::size_t crashes = found->second.size();
+  Instant latest = LatestCrash(found->second);
+  for (const Suspicion& each : suspicions_) {
+    const bool counts = each.request == request && now - each.broke_at >= kSuspicionDelay &&
+                        !found->second.contains(each.run);
+    if (counts && crashes + 1 >= kCrashesUntilBlocked) {
+      ++crashes;
+      latest = std::max(latest, each.broke_at);
+    }
+  }
+  if (crashes < kCrashesUntilBlocked) {
+    return {};
+  }
+  return std::max(latest + kBlockTime - now, Duration{});
+}
+
+std::vector<CrashReport> CrashingRequests::TakeReports(Instant now) {
+  DiscardOld(now);
+  const bool full = now >= next_full_report_at_;
+  if (full) {
+    next_full_report_at_ = now + kFullReportInterval;
+  }
+  std::vector<CrashReport> reports;
+  for (const auto& [request, crashes] : crashes_) {
+    for (const auto& [run, crashed_at] : crashes) {
+      const bool recent = now - crashed_at < kSuspicionMemory + kReportTime;
+      if ((recent || (full && crashes.size() > 1)) && reports.size() < kMaxReports) {
+        reports.push_back({request, run, MillisecondsSince(crashed_at, now)});
+      }
+    }
+  }
+  return reports;
+}
+
+void CrashingRequests::DiscardOld(Instant now) {
+  std::erase_if(suspicions_,
+                [now](const Suspicion& each) { return now - each.broke_at >= kSuspicionMemory; });
+  std::erase_if(crashes_,
+                [now](const auto& each) { return now - LatestCrash(each.second) >= kCrashMemory; });
+  std::erase_if(completed_at_,
+                [now](const auto& each) { return now - each.second >= kCrashMemory; });
+}
+
+}  // namespace sycamorestall
--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -31,6 +31,13 @@
   return expect != request.end() && beast::iequals(expect->value(), "100-continue");
 }
 
+// The peer's address without its port; empty if the connection has ended.
+std::string PeerAddress(const asio::ip::tcp::socket& socket) {
+  beast::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? std::string{} : endpoint.address().to_string();
+}
+
 unsigned StatusForParseError(const beast::error_code& error) {
   if (error == beast_http::error::header_limit) {
     return 431;
@@ -43,8 +50,9 @@
 
 }  // namespace
 
-CallerExchange::CallerExchange(std::weak_ptr<CallerConnection> connection, HttpRequest request)
-    : connection_(std::move(connection)), request_(std::move(request)) {
+CallerExchange::CallerExchange(std::weak_ptr<CallerConnection> connection, HttpRequest request,
+                               std::string caller)
+    : connection_(std::move(connection)), request_(std::move(request)), caller_(std::move(caller)) {
   keep_alive_ = request_.keep_alive();
   body_ = std::make_shared<const std::string>(std::move(request_.body()));
 }
@@ -66,7 +74,7 @@
 }
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerHandler& handler)
-    : socket_(std::move(socket)), handler_(handler) {}
+    : socket_(std::move(socket)), caller_(PeerAddress(socket_)), handler_(handler) {}
 
 void CallerConnection::Start(Instant now) {
   last_activity_ = now;
@@ -211,7 +219,7 @@
 }
 
 void CallerConnection::DispatchRequest() {
-  auto exchange = std::make_shared<CallerExchange>(weak_from_this(), parser_->release());
+  auto exchange = std::make_shared<CallerExchange>(weak_from_this(), parser_->release(), caller_);
   ResetParser();
   exchanges_.push_back(exchange);
   if (!exchange->keep_alive_) {
@@ -221,7 +229,7 @@
 }
 
 void CallerConnection::RejectRequest(const beast::error_code& error) {
-  auto exchange = std::make_shared<CallerExchange>(weak_from_this(), HttpRequest{});
+  auto exchange = std::make_shared<CallerExchange>(weak_from_this(), HttpRequest{}, caller_);
   exchange->keep_alive_ = false;
   input_done_ = true;
   exchanges_.push_back(exchange);
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "core/boot_clock.h"
 #include "core/routing_config.h"
@@ -20,11 +21,14 @@
 // requests.
 class CallerExchange {
  public:
-  CallerExchange(std::weak_ptr<CallerConnection> connection, HttpRequest request);
+  CallerExchange(std::weak_ptr<CallerConnection> connection, HttpRequest request,
+                 std::string caller);
 
   const HttpRequest& request() const { return request_; }
   // The request's body, shared so that it can be forwarded without a copy.
   const SharedBytes& body() const { return body_; }
+  // The caller's address without its port.
+  const std::string& caller() const { return caller_; }
   // Whether the connection ended before the answer was written.
   bool abandoned() const { return abandoned_; }
   // Whether Answer() was called.
@@ -45,6 +49,7 @@
   std::weak_ptr<CallerConnection> connection_;
   HttpRequest request_;
   SharedBytes body_;
+  std::string caller_;
   std::optional<OutgoingMessage> answer_;
   bool keep_alive_ = true;
   bool abandoned_ = false;
@@ -123,6 +128,7 @@
   void ResetParser();
 
   boost::asio::ip::tcp::socket socket_;
+  const std::string caller_;
   CallerHandler& handler_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -181,7 +181,7 @@
     return;
   }
   if (error && error != asio::error::eof) {
-    FailCall(IsStale() ? CallOutcome::kStaleConnection : CallOutcome::kBroken, error.message());
+    FailEndedCall(error, error.message());
     return;
   }
   buffer_.commit(size);
@@ -241,7 +241,7 @@
 
 bool HttpConnection::ParseEndOfStream() {
   if (!answer_began_at_) {
-    FailCall(IsStale() ? CallOutcome::kStaleConnection : CallOutcome::kBroken, "closed unanswered");
+    FailEndedCall(asio::error::eof, "closed unanswered");
     return false;
   }
   beast::error_code error;
@@ -358,9 +358,16 @@
   result.outcome = outcome;
   result.reason = std::move(reason);
   result.earlier_answers = answered_calls_;
+  result.ended_by_peer = std::exchange(ended_by_peer_, false);
   CompleteCall(std::move(result));
 }
 
+void HttpConnection::FailEndedCall(const beast::error_code& error, std::string reason) {
+  ended_by_peer_ =
+      !answer_began_at_ && (error == asio::error::eof || error == asio::error::connection_reset);
+  FailCall(IsStale() ? CallOutcome::kStaleConnection : CallOutcome::kBroken, std::move(reason));
+}
+
 void HttpConnection::CompleteCall(CallResult result) {
   memory_->Change(held_bytes_, 0);
   result.connection = number_;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -56,6 +56,8 @@
   std::uint64_t earlier_answers = 0;
   // How many answers to earlier requests came before this call's.
   int skipped_answers = 0;
+  // Whether the peer ended the connection without a byte of an answer.
+  bool ended_by_peer = false;
 };
 
 // A request to send, with its timeouts.
@@ -156,6 +158,8 @@
   bool IsAnswerTooLarge();
   void ResetParser();
   void FailCall(CallOutcome outcome, std::string reason);
+  // Fails the call as the connection has ended; the peer may have ended it.
+  void FailEndedCall(const boost::beast::error_code& error, std::string reason);
   void ExtendDeadline();
   void CompleteCall(CallResult result);
   void Close();
@@ -181,6 +185,7 @@
   bool carried_head_request_ = false;
   // Answers to earlier requests that came during the running call.
   int skipped_answers_ = 0;
+  bool ended_by_peer_ = false;
   Instant idle_since_;
   Instant connect_deadline_;
   std::optional<Duration> peer_idle_timeout_;
--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -35,6 +35,11 @@
           hand_over.confirmed_ms_ago);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, CrashReport& report) {
+  archive(report.request.value, report.run.endpoint, report.run.incarnation, report.ms_ago);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, RelayedEvent& event) {
   archive(event.key, event.value, event.revision, event.removed, event.uncompressed_bytes,
@@ -50,7 +55,7 @@
           message.loads, message.demands, message.announcements, message.not_owner_reports,
           message.drain_reports, message.leadership_hand_overs, message.store_updates,
           message.store_revision, message.knows_recent_changes, message.weight,
-          message.service_times);
+          message.service_times, message.crash_reports);
 }
 
 namespace {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/crashing_requests.h"
 #include "core/key_demand.h"
 #include "core/key_routes.h"
 #include "router/record_codec.h"
@@ -115,6 +116,8 @@
   double weight = 0;
   // For the leader of the endpoints' keys, which by itself measures too few of them.
   std::vector<EndpointTimes> service_times;
+  // Endpoints that crashed while they ran a request.
+  std::vector<CrashReport> crash_reports;
 };
 
 // Serializes a message.
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -7,6 +7,7 @@
 #include "clock/system_clock.h"
 #include "http/status.h"
 #include "log/log.h"
+#include "router/request_fingerprint.h"
 
 namespace sycamorestall {
 
@@ -90,9 +91,40 @@
       relay->HandleCallerDisconnect();
     }
   });
+  const Duration blocked = BlockedFor(now);
+  if (blocked > Duration{}) {
+    AnswerFailure("request crashes endpoints", blocked, now);
+    return;
+  }
   Dispatch(now);
 }
 
+RequestFingerprint RequestRelay::Fingerprint() const {
+  return FingerprintOf(*exchange_, attributes_.host, attributes_.key);
+}
+
+Duration RequestRelay::BlockedFor(Instant now) const {
+  return context_.crashing_requests.empty()
+             ? Duration{}
+             : context_.crashing_requests.BlockedFor(Fingerprint(), now);
+}
+
+void RequestRelay::RecordCrashEvidence(const CallResult& result, Instant now) {
+  CrashingRequests& crashing_requests = context_.crashing_requests;
+  if (result.ended_by_peer) {
+    crashing_requests.RecordBreak(Fingerprint(), {endpoint_, incarnation_}, now);
+  }
+  if (crashing_requests.empty()) {
+    return;
+  }
+  if (result.outcome == CallOutcome::kNotConnected) {
+    crashing_requests.RecordRefusal(endpoint_, now);
+  } else if (result.outcome == CallOutcome::kAnswered) {
+    crashing_requests.RecordAnswer(endpoint_, now);
+    crashing_requests.RecordCompletion(Fingerprint(), now);
+  }
+}
+
 void RequestRelay::RefuseWhileStopping(Instant now) {
   AnswerFailure(kDaemonStops, kRetryAfterDeclined, now);
 }
@@ -206,6 +238,7 @@
   state_ = State::kAwaitingAnswer;
   ++send_count_;
   endpoint_ = endpoint.entry.id;
+  incarnation_ = endpoint.entry.incarnation;
   sent_at_ = now;
   queueing_factor_when_sent_ = endpoint.queueing_factor();
   OutgoingCall call;
@@ -237,6 +270,7 @@
     return;
   }
   last_connection_ = result.connection;
+  RecordCrashEvidence(result, now);
   if (result.skipped_answers > 0) {
     context_.log.Info("answers to earlier requests skipped id=" + attributes_.id + " endpoint=" +
                       endpoint_.value() + " connection=" + std::to_string(last_connection_) +
@@ -347,6 +381,7 @@
 
 bool RequestRelay::ScheduleOwnerRetry(bool reached_endpoint, Instant now) {
   const bool allowed = routed_by_key_ && send_count_ < kMaxSendsToOwner &&
+                       BlockedFor(now) == Duration{} &&
                        TimeLeft(now) > kOwnerRetryDelay + kAnswerTransitTime;
   if (!allowed || (reached_endpoint &&
                    !context_.retry_budget.TryConsumeRetry(service_, context_.daemon_count, now))) {
@@ -369,7 +404,8 @@
 }
 
 bool RequestRelay::Retry(bool reached_endpoint, Instant now) {
-  if (arrival_count_ >= route_->max_attempts || TimeLeft(now) <= kAnswerTransitTime) {
+  if (arrival_count_ >= route_->max_attempts || TimeLeft(now) <= kAnswerTransitTime ||
+      BlockedFor(now) > Duration{}) {
     return false;
   }
   if (routed_by_key_) {
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "core/admission.h"
+#include "core/crashing_requests.h"
 #include "core/endpoint_choice.h"
 #include "core/route_table.h"
 #include "core/sliding_window_retry_budget.h"
@@ -26,6 +27,7 @@
   DomainReachability& domains;
   const EndpointChooser& chooser;
   SlidingWindowRetryBudget& retry_budget;
+  CrashingRequests& crashing_requests;
   ConnectionPool& pool;
   const RequestFormat& format;
   KeyDirectory& key_directory;
@@ -79,6 +81,11 @@
   // that is not allowed. Consumes the retry budget only if the last attempt reached an
   // endpoint.
   bool Retry(bool reached_endpoint, Instant now);
+  // For how long the request may not be sent, as it crashes the endpoints that run it.
+  Duration BlockedFor(Instant now) const;
+  RequestFingerprint Fingerprint() const;
+  // Notes what an ended call tells of crashes.
+  void RecordCrashEvidence(const CallResult& result, Instant now);
   // Schedules a resend to the owner of the request's key, after a delay if the last
   // attempt reached it. Returns false if that is not allowed.
   bool ScheduleOwnerRetry(bool reached_endpoint, Instant now);
@@ -119,6 +126,7 @@
   Instant owner_wait_began_at_;
   // The endpoint that the request was last sent to, and when.
   InstanceId endpoint_;
+  Incarnation incarnation_;
   Instant sent_at_;
   // The endpoint's queueing factor at that time.
   double queueing_factor_when_sent_ = 1;
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -88,6 +88,8 @@
   ItemEffect ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin);
   ItemEffect RemoveItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   void RemoveEndpoint(const InstanceId& id, Instant now);
+  // Notes that the listed run of an endpoint has ended.
+  void RecordEndpointEnd(const InstanceId& id, Instant now);
   // Removes the endpoints that have not returned since the store lost their entries.
   void RemoveMissingEndpoints(Instant now);
   void ApplyRecordItem(const StoreItem& item);
@@ -176,6 +178,7 @@
   DomainReachability domains_;
   LeastLatencyChooser chooser_;
   SlidingWindowRetryBudget retry_budget_;
+  CrashingRequests crashing_requests_;
   Metrics metrics_;
   ComponentLog request_log_{"request"};
   ComponentLog log_{"daemon"};
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -125,6 +125,7 @@
     }
   }
   message.drain_reports = DrainReports();
+  message.crash_reports = crashing_requests_.TakeReports(now);
   transport_.SendToAll(message);
   UpdatePeerLoads(now);
 }
@@ -351,6 +352,9 @@
                 " source=" + message.sender.value());
     }
   }
+  for (const CrashReport& report : message.crash_reports) {
+    crashing_requests_.ApplyReport(report, now);
+  }
   for (const NotOwnerReport& report : message.not_owner_reports) {
     const auto service = key_services_.find(report.service);
     if (service != key_services_.end()) {
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -137,6 +137,9 @@
             (entry->draining ? " draining" : " ready") +
             " start=" + std::to_string(entry->incarnation.value) +
             " revision=" + std::to_string(item.revision.value));
+  if (known != nullptr && known->entry.incarnation != entry->incarnation) {
+    RecordEndpointEnd(entry->id, now);
+  }
   fleet_.Put(*entry, now);
   return ItemEffect::kChanged;
 }
@@ -157,8 +160,16 @@
   }
 }
 
+void RoutingDaemon::RecordEndpointEnd(const InstanceId& id, Instant now) {
+  const EndpointState* known = fleet_.Find(id);
+  if (known != nullptr && !crashing_requests_.empty()) {
+    crashing_requests_.RecordEnd({id, known->entry.incarnation}, now);
+  }
+}
+
 void RoutingDaemon::RemoveEndpoint(const InstanceId& id, Instant now) {
   log_.Info("endpoint removed id=" + id.value());
+  RecordEndpointEnd(id, now);
   fleet_.Remove(id, now);
   pool_.CloseIdleConnections(id.value());
 }
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -57,6 +57,7 @@
       return;
     }
     const Instant now = BootNow();
+    EndIfCrashed();
     for (const RunningRequest& request : running_) {
       if (now >= request.done_at) {
         SendAnswer(*request.exchange, request.fault);
@@ -95,6 +96,25 @@
   running_.clear();
 }
 
+void KeyEndpoint::SetCrashingTarget(const std::string& text) {
+  const std::lock_guard lock{mutex_};
+  crashing_target_ = text;
+}
+
+int KeyEndpoint::CrashCount() {
+  const std::lock_guard lock{mutex_};
+  return crash_count_;
+}
+
+void KeyEndpoint::EndIfCrashed() {
+  if (crash_count_ > 0 && listener_) {
+    listener_->CloseAll();
+    listener_.reset();
+    running_.clear();
+    grants_.clear();
+  }
+}
+
 void KeyEndpoint::SetServiceTime(std::chrono::milliseconds service_time) {
   const std::lock_guard lock{mutex_};
   service_time_ = service_time;
@@ -228,6 +248,9 @@
     HandleRelease(*exchange);
   } else {
     ++execution_counts_[HeaderValue(*exchange, "X-Request-Id")];
+    if (!crashing_target_.empty() && target.find(crashing_target_) != std::string::npos) {
+      ++crash_count_;
+    }
     running_.push_back({std::move(exchange), fault, BootNow() + service_time_});
   }
 }
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -51,6 +51,11 @@
   int ArrivalCount();
   // Simulates a restart: drops the grants, and the running requests with their connections.
   void Restart();
+  // Requests whose target contains the text crash the endpoint: all connections end, and nothing
+  // listens any more.
+  void SetCrashingTarget(const std::string& text);
+  // How many of them it has begun to run.
+  int CrashCount();
   void SetServiceTime(std::chrono::milliseconds service_time);
   // Number of executions by request id.
   std::map<std::string, int> ExecutionCounts();
@@ -89,6 +94,8 @@
                       const std::string& body);
   void SendNotExecuted(CallerExchange& exchange, unsigned status);
   void SendAnswer(CallerExchange& exchange, EndpointFault fault);
+  // Ends all connections after a crash, and listens no more.
+  void EndIfCrashed();
   void RunEventLoop();
 
   const std::string id_;
@@ -107,6 +114,8 @@
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;
   EndpointFault fault_ = EndpointFault::kNone;
   bool leaving_ = false;
+  std::string crashing_target_;
+  int crash_count_ = 0;
   std::string retry_after_;
   int arrival_count_ = 0;
   std::chrono::milliseconds service_time_{5};
--- /dev/null
+++ b/tests/router/crashing_request_test.cc
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "router/router_deployment.h"
+
+using namespace sycamorestall;           // NOLINT
+using namespace sycamorestall::testing;  // NOLINT
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kDaemons = 3;
+constexpr int kEndpoints = 8;
+// From a crash until the entry of the endpoint is removed from the list.
+constexpr milliseconds kEntryTimeToLive{400};
+// After this time without other trouble a request that has crashed three endpoints reaches no more.
+constexpr milliseconds kStableTime{3000};
+
+// Pumps that crash when they run a request for /pumps/crash, and lose their entries then.
+struct CrashSetup {
+  CrashSetup() {
+    for (const auto& each : deployment.pumps) {
+      each->SetCrashingTarget("crash");
+    }
+  }
+
+  CallerAnswer Send(std::size_t daemon, const std::string& name) {
+    return deployment.SendRequest(daemon,
+                                  {.path = "/pumps/" + name, .method = "POST", .body = "{}"});
+  }
+
+  int Crashes() {
+    int crashes = 0;
+    for (const auto& each : deployment.pumps) {
+      crashes += each->CrashCount();
+    }
+    return crashes;
+  }
+
+  // Sends the request that crashes endpoints, and plays the store's part after a crash.
+  CallerAnswer SendCrashing(std::size_t daemon) {
+    std::vector<int> counts_before;
+    for (const auto& each : deployment.pumps) {
+      counts_before.push_back(each->CrashCount());
+    }
+    CallerAnswer answer = Send(daemon, "crash");
+    std::this_thread::sleep_for(kEntryTimeToLive);
+    std::size_t i = 0;
+    for (const auto& each : deployment.pumps) {
+      if (each->CrashCount() > counts_before[i++]) {
+        deployment.DeregisterEndpoint(*each);
+      }
+    }
+    std::this_thread::sleep_for(milliseconds{200});
+    return answer;
+  }
+
+  RouterDeployment deployment{kDaemons, 1, kEndpoints};
+};
+
+}  // namespace
+
+// Guards against a request that comes again at any machine, crashes each endpoint that runs it, and
+// ends the requests of other callers there.
+TEST_CASE("a request that crashes endpoints is refused at every daemon, also after restarts") {
+  CrashSetup setup;
+  REQUIRE(setup.deployment.WaitUntilServed());
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(setup.SendCrashing(i).status == 502);
+  }
+  CHECK(setup.Crashes() == 3);
+  std::this_thread::sleep_for(kStableTime);
+  for (std::size_t i = 0; i < 2 * kDaemons; ++i) {
+    const auto sent_at = std::chrono::steady_clock::now();
+    const CallerAnswer answer = setup.Send(i % kDaemons, "crash");
+    CHECK(answer.status == 503);
+    CHECK(!answer.retry_after.empty());
+    CHECK(std::chrono::steady_clock::now() - sent_at < milliseconds{200});
+    CHECK(setup.Send(i % kDaemons, "harmless").status == 200);
+  }
+  CHECK(setup.Crashes() == 3);
+  // Restarted daemons hear of it from those that go on.
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    setup.deployment.SendSignal(daemon, SIGKILL);
+    setup.deployment.WaitForExit(daemon, 5);
+    setup.deployment.StartDaemon(daemon);
+    REQUIRE(setup.deployment.WaitUntilServed());
+    std::this_thread::sleep_for(milliseconds{2500});
+  }
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    CHECK(setup.Send(i, "crash").status == 503);
+    CHECK(setup.Send(i, "harmless").status == 200);
+  }
+  CHECK(setup.Crashes() == 3);
+}
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -189,6 +189,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, daemon.log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  // Otherwise the ports of endpoints that have crashed would stay open in the daemon.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int failed =
       posix_spawn(&daemon.pid, program.c_str(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
