--- a/src/core/group_leader.cc
+++ b/src/core/group_leader.cc
@@ -194,6 +194,8 @@
   stable_ = false;
   last_cleared_at_ = now;
   leading_since_ = now;
+  // Also an earlier life of this daemon may have sent orders.
+  ExpectEarlierOrders(now);
   next_step_down_request_ = now;
   next_placement_ = now + settings_.placement_interval;
   for (const ShardId id : settings_.shards) {
@@ -214,6 +216,10 @@
   AskStepDownsIfDue(now);
 }
 
+void GroupLeader::ExpectEarlierOrders(Instant now) {
+  earlier_orders_until_ = now + settings_.time_to_live + settings_.clock_margin;
+}
+
 void GroupLeader::HandleStepDown(Instant now, const ProcessId& earlier) {
   if (phase_ != LeaderPhase::kLeading) {
     return;
@@ -224,12 +230,7 @@
   }
   last_cleared_at_ = now;
   Log("cleared earlier leader " + earlier.instance.value());
-  if (!settings_.endpoints_check_token) {
-    // The last orders of that leader may still arrive until their stamps expire.
-    for (auto& [id, row] : endpoints_) {
-      row.lost_order_until = now + settings_.time_to_live + settings_.clock_margin;
-    }
-  }
+  ExpectEarlierOrders(now);
 }
 
 void GroupLeader::UpdateInstances(Instant now, const InstanceList& list) {
--- a/src/core/group_leader.h
+++ b/src/core/group_leader.h
@@ -171,6 +171,8 @@
   std::vector<PlacedShard> PlacedShards() const;
 
   // Whether all earlier leaders are known to send no more orders.
+  // Notes that earlier leaders have sent their last orders by now.
+  void ExpectEarlierOrders(Instant now);
   bool EarlierLeadersCleared() const { return record_.earlier_leaders.empty(); }
   // Whether orders may be sent. Endpoints that do not check the term could obey an earlier
   // leader as well, so all of those have to step down first.
@@ -193,6 +195,8 @@
   // When the last earlier leader was cleared, or else when this one claimed or began to
   // lead.
   Instant last_cleared_at_;
+  // Until then orders of earlier leaders may still arrive, as their stamps have not expired.
+  Instant earlier_orders_until_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t next_change_number_ = 1;
   std::uint64_t list_revision_ = 0;
--- a/src/core/group_leader_shards.cc
+++ b/src/core/group_leader_shards.cc
@@ -182,7 +182,8 @@
 bool GroupLeader::IsRevocationComplete(ShardId id, const EndpointRow& row, Instant now) const {
   const bool given_up = row.fenced && row.failures == 0 && !row.held.contains(id) &&
                         !row.draining_shards.contains(id) && !row.order;
-  return given_up && (settings_.endpoints_check_token || now > row.lost_order_until);
+  const Instant lost_order_until = std::max(row.lost_order_until, earlier_orders_until_);
+  return given_up && (settings_.endpoints_check_token || now > lost_order_until);
 }
 
 void GroupLeader::SetPhase(Instant now, ShardRow& shard, ShardPhase phase) {
