--- a/tests/router/crashing_request_test.cc
+++ b/tests/router/crashing_request_test.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int kDaemons = 3;
+constexpr std::size_t kDaemons = 3;
 constexpr int kEndpoints = 8;
 // From a crash until the entry of the endpoint is removed from the list.
 constexpr milliseconds kEntryTimeToLive{400};
@@ -60,7 +60,7 @@
     return answer;
   }
 
-  RouterDeployment deployment{kDaemons, 1, kEndpoints};
+  RouterDeployment deployment{static_cast<int>(kDaemons), 1, kEndpoints};
 };
 
 }  // namespace
@@ -70,7 +70,7 @@
 TEST_CASE("a request that crashes endpoints is refused at every daemon, also after restarts") {
   CrashSetup setup;
   REQUIRE(setup.deployment.WaitUntilServed());
-  for (std::size_t i = 0; i < 3; ++i) {
+  for (std::size_t i = 0; i < kDaemons; ++i) {
     CHECK(setup.SendCrashing(i).status == 502);
   }
   CHECK(setup.Crashes() == 3);
