Clear a request that crashes endpoints only by an answer to its run

Found in reading the change before: an endpoint that was full and refused the request cleared all its crashes, so that it crashed three more each time. The new router test failed before (502 in place of 503, 6 crashes in place of 3) and passes. Nor does an answer clear a suspicion any more that comes within 50 ms of the broken call: it may have been sent before the crash.

--- a/src/core/crashing_requests.cc
+++ b/src/core/crashing_requests.cc
@@ -12,8 +12,9 @@
 // blocks the request again.
 constexpr std::chrono::minutes kBlockTime{10};
 constexpr std::chrono::minutes kCrashMemory{20};
-// An endpoint that answers within this time after it broke a call has not crashed; later, it may
-// have started again.
+// An endpoint that answers within this time after it broke a call has not crashed. An answer that
+// comes sooner may have been sent before, and one that comes later after a new start.
+constexpr std::chrono::milliseconds kTransitTime{50};
 constexpr std::chrono::milliseconds kRestartTime{1000};
 // A suspected crash counts like a certain one after this time without an answer of the endpoint, if
 // the request has crashed others for certain.
@@ -52,7 +53,9 @@
 
 void CrashingRequests::RecordAnswer(const InstanceId& endpoint, Instant now) {
   std::erase_if(suspicions_, [&](const Suspicion& each) {
-    return each.run.endpoint == endpoint && now - each.broke_at < kRestartTime;
+    const Duration since_break = now - each.broke_at;
+    return each.run.endpoint == endpoint && since_break >= kTransitTime &&
+           since_break < kRestartTime;
   });
 }
 
--- a/src/core/crashing_requests.h
+++ b/src/core/crashing_requests.h
@@ -49,7 +49,7 @@
   void RecordBreak(RequestFingerprint request, const EndpointRun& run, Instant now);
   // Notes that an endpoint has answered a call.
   void RecordAnswer(const InstanceId& endpoint, Instant now);
-  // Notes that the request itself has been answered.
+  // Notes that an endpoint has run the request itself and answered it.
   void RecordCompletion(RequestFingerprint request, Instant now);
   // Notes that a run of an endpoint has ended.
   void RecordEnd(const EndpointRun& run, Instant now);
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -121,7 +121,11 @@
     crashing_requests.RecordRefusal(endpoint_, now);
   } else if (result.outcome == CallOutcome::kAnswered) {
     crashing_requests.RecordAnswer(endpoint_, now);
-    crashing_requests.RecordCompletion(Fingerprint(), now);
+    const AnswerKind kind = context_.format.ClassifyAnswer(result.answer, attributes_.id);
+    // An endpoint that refused the request has not been put to the test.
+    if (kind == AnswerKind::kRun || kind == AnswerKind::kFailed) {
+      crashing_requests.RecordCompletion(Fingerprint(), now);
+    }
   }
 }
 
--- a/tests/router/crashing_request_test.cc
+++ b/tests/router/crashing_request_test.cc
@@ -65,6 +65,29 @@
 
 }  // namespace
 
+// Guards against a count of crashes that starts anew whenever an endpoint refuses the request.
+TEST_CASE("a refusal by an endpoint that is full does not clear a request that crashes others") {
+  CrashSetup setup;
+  REQUIRE(setup.deployment.WaitUntilServed());
+  CHECK(setup.SendCrashing(0).status == 502);
+  CHECK(setup.SendCrashing(1).status == 502);
+  for (const auto& each : setup.deployment.pumps) {
+    each->SetFault(fakes::EndpointFault::kFull);
+  }
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    CHECK(setup.Send(i, "crash").status == 503);
+  }
+  for (const auto& each : setup.deployment.pumps) {
+    each->SetFault(fakes::EndpointFault::kNone);
+  }
+  CHECK(setup.SendCrashing(2).status == 502);
+  std::this_thread::sleep_for(kStableTime);
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    CHECK(setup.Send(i, "crash").status == 503);
+  }
+  CHECK(setup.Crashes() == 3);
+}
+
 // Guards against a request that comes again at any machine, crashes each endpoint that runs it, and
 // ends the requests of other callers there.
 TEST_CASE("a request that crashes endpoints is refused at every daemon, also after restarts") {
