Remember a request that crashes endpoints however many others ran beside it

The one with the fewest crashes makes room now. The new test failed before and passes. A comment of the store's watcher says what it meant.

--- a/src/core/crashing_requests.cc
+++ b/src/core/crashing_requests.cc
@@ -1,6 +1,7 @@
 #include "core/crashing_requests.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamorestall {
 
@@ -25,7 +26,7 @@
 constexpr std::chrono::seconds kReportTime{2};
 constexpr std::chrono::seconds kFullReportInterval{2};
 constexpr std::size_t kMaxReports = 64;
-// Old entries make room for new ones.
+// The most requests that are suspected, and for which crashes are remembered.
 constexpr std::size_t kMaxRequests = 1024;
 
 Instant LatestCrash(const std::map<EndpointRun, Instant>& crashes) {
@@ -95,9 +96,19 @@
   if (completed != completed_at_.end() && crashed_at <= completed->second) {
     return;
   }
-  if (crashes_.size() < kMaxRequests || crashes_.contains(request)) {
-    crashes_[request].emplace(run, crashed_at);
+  if (crashes_.size() >= kMaxRequests && !crashes_.contains(request)) {
+    EraseLeastSuspect();
   }
+  crashes_[request].emplace(run, crashed_at);
+}
+
+void CrashingRequests::EraseLeastSuspect() {
+  const auto least =
+      std::min_element(crashes_.begin(), crashes_.end(), [](const auto& left, const auto& right) {
+        return std::pair{left.second.size(), LatestCrash(left.second)} <
+               std::pair{right.second.size(), LatestCrash(right.second)};
+      });
+  crashes_.erase(least);
 }
 
 void CrashingRequests::ApplyReport(const CrashReport& report, Instant now) {
--- a/src/core/crashing_requests.h
+++ b/src/core/crashing_requests.h
@@ -78,6 +78,8 @@
   using Crashes = std::map<EndpointRun, Instant>;
 
   void AddCrash(RequestFingerprint request, const EndpointRun& run, Instant crashed_at);
+  // Makes room for another request: forgets the one with the fewest crashes, the oldest first.
+  void EraseLeastSuspect();
   // Turns the suspicions of an endpoint's run, or of all its runs, into crashes.
   template <typename Matches>
   void ConfirmSuspicions(Matches matches);
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -137,7 +137,7 @@
   if (error || !due_at || *due_at > sent_at - probe_delay_) {
     return;
   }
-  // The silence began before that call was answered, so what was sent after it may be lost too.
+  // What was sent later, but before the probe, may have been lost in the same silence.
   store_.GiveUpUnanswered(sent_at);
   probe_delay_ = std::min(probe_delay_ * 2, kMaxProbeDelay);
 }
--- a/tests/core/crashing_requests_test.cc
+++ b/tests/core/crashing_requests_test.cc
@@ -158,6 +158,26 @@
   CHECK(daemons[0].IsBlocked(kRequest));
 }
 
+// Guards against a history that is full of harmless requests and takes up no other.
+TEST_CASE("a request is blocked however many others ran at endpoints that crashed") {
+  constexpr int kCrashes = 40;
+  constexpr std::uint64_t kOthersPerCrash = 60;
+  Setup setup;
+  for (int i = 0; i < kCrashes; ++i) {
+    for (std::uint64_t other = 0; other < kOthersPerCrash; ++other) {
+      setup.requests.RecordBreak({1000 + kOthersPerCrash * static_cast<std::uint64_t>(i) + other},
+                                 Run(i), setup.now);
+    }
+    setup.now += milliseconds{900};
+    setup.requests.RecordEnd(Run(i), setup.now);
+  }
+  for (int i = 0; i < 3; ++i) {
+    setup.Crash(kRequest, kCrashes + i);
+  }
+  CHECK(setup.IsBlocked(kRequest));
+  CHECK(setup.requests.TakeReports(setup.now).size() <= 64);
+}
+
 TEST_CASE("a third crash counts before it is certain, as the first two are") {
   Setup setup;
   setup.requests.RecordBreak(kRequest, Run(0), setup.now);
