Report crashes of all requests in turn, not always of the same ones

Found in reading the change once more: a message holds 64 crashes, always those of the lowest fingerprints, so that daemons never heard of a request that crashes endpoints among hundreds that had run beside it. The new test failed before and passes.

--- a/src/core/crashing_requests.cc
+++ b/src/core/crashing_requests.cc
@@ -25,6 +25,7 @@
 // How long a crash is reported with each message, and how often those are that may count later.
 constexpr std::chrono::seconds kReportTime{2};
 constexpr std::chrono::seconds kFullReportInterval{2};
+// What does not fit into a message comes with the next ones.
 constexpr std::size_t kMaxReports = 64;
 // The most requests that are suspected, and for which crashes are remembered.
 constexpr std::size_t kMaxRequests = 1024;
@@ -143,7 +144,12 @@
     next_full_report_at_ = now + kFullReportInterval;
   }
   std::vector<CrashReport> reports;
-  for (const auto& [request, crashes] : crashes_) {
+  auto next = crashes_.lower_bound(next_reported_);
+  for (std::size_t i = 0; i < crashes_.size() && reports.size() < kMaxReports; ++i, ++next) {
+    if (next == crashes_.end()) {
+      next = crashes_.begin();
+    }
+    const auto& [request, crashes] = *next;
     for (const auto& [run, crashed_at] : crashes) {
       const bool recent = now - crashed_at < kSuspicionMemory + kReportTime;
       if ((recent || (full && crashes.size() > 1)) && reports.size() < kMaxReports) {
@@ -151,6 +157,7 @@
       }
     }
   }
+  next_reported_ = next == crashes_.end() ? RequestFingerprint{} : next->first;
   return reports;
 }
 
--- a/src/core/crashing_requests.h
+++ b/src/core/crashing_requests.h
@@ -89,6 +89,8 @@
   // When requests were last answered: earlier crashes do not count against them.
   std::map<RequestFingerprint, Instant> completed_at_;
   Instant next_full_report_at_;
+  // The request with whose crashes the next reports begin.
+  RequestFingerprint next_reported_;
 };
 
 }  // namespace sycamorestall
--- a/tests/core/crashing_requests_test.cc
+++ b/tests/core/crashing_requests_test.cc
@@ -178,6 +178,37 @@
   CHECK(setup.requests.TakeReports(setup.now).size() <= 64);
 }
 
+// Guards against reports that are full of harmless requests and never tell of the other.
+TEST_CASE("daemons learn of a request that crashes endpoints among many that ran beside it") {
+  constexpr int kExchanges = 20;
+  Setup daemons[3];
+  for (int i = 0; i < 3; ++i) {
+    for (std::uint64_t other = 0; other < 300; ++other) {
+      daemons[i].requests.RecordBreak({100 + other}, Run(i), daemons[i].now);
+    }
+    daemons[i].Crash({100'000}, i);
+    // Only the one has no answer in the end.
+    for (std::uint64_t other = 0; other < 300; other += 2) {
+      daemons[i].requests.RecordCompletion({100 + other}, daemons[i].now);
+    }
+  }
+  for (int exchange = 0; exchange < kExchanges; ++exchange) {
+    for (Setup& sender : daemons) {
+      const auto reports = sender.requests.TakeReports(sender.now);
+      CHECK(reports.size() <= 64);
+      for (const CrashReport& report : reports) {
+        for (Setup& receiver : daemons) {
+          receiver.requests.ApplyReport(report, receiver.now);
+        }
+      }
+      sender.now += milliseconds{400};
+    }
+  }
+  for (const Setup& each : daemons) {
+    CHECK(each.IsBlocked({100'000}));
+  }
+}
+
 TEST_CASE("a third crash counts before it is certain, as the first two are") {
   Setup setup;
   setup.requests.RecordBreak(kRequest, Run(0), setup.now);
