A write that is repeated in a new era says that changes may have been lost

Listed as open before: the leader notes for how long lost changes may have effect when it starts a write, but not when it repeats one on top of a restored record, so that the next leader did not know. The new test failed before and passes.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -149,6 +149,7 @@
   if (pending_write_) {
     // The write that has no result yet is repeated on top of the restored record.
     RaiseToPresentEra(*pending_write_);
+    SetWaits(*pending_write_, now);
     write_outcome_unknown_ = true;
     write_retry_at_ = now;
     return;
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -496,6 +496,39 @@
   }
 }
 
+// Guards against the same where the leader repeats a write that had no result when the store came
+// back.
+TEST_CASE("a write that is repeated in a new era says that changes may have been lost") {
+  SingleLeaderSetup setup;
+  setup.AddEndpoint("a", "10.0.0.1");
+  std::optional<WriteOwnership> last_write;
+  setup.take_write = [&](const WriteOwnership& write) {
+    last_write = write;
+    return false;
+  };
+  setup.revision = {0, {1}};
+  setup.RunFor(std::chrono::seconds{5});
+  REQUIRE(setup.leader.leading());
+  setup.take_write = [&](const WriteOwnership& write) {
+    last_write = write;
+    setup.leader.HandleWriteResult(write.record.change_id, RecordWriteOutcome::kUnknown, {},
+                                   setup.now);
+    return true;
+  };
+  // Its keys are assigned anew.
+  setup.AddEndpoint("b", "10.0.0.2");
+  setup.fleet.HandleNotice(InstanceId{"a"}, {.draining = true}, setup.now, setup.now);
+  last_write.reset();
+  setup.RunFor(std::chrono::seconds{2});
+  REQUIRE(last_write.has_value());
+  REQUIRE(last_write->record.lost_changes_time == std::chrono::milliseconds{0});
+  setup.leader.ApplyRecord(setup.record, {1, {2}}, setup.now);
+  last_write.reset();
+  setup.RunFor(std::chrono::seconds{2});
+  REQUIRE(last_write.has_value());
+  CHECK(last_write->record.lost_changes_time > std::chrono::milliseconds{0});
+}
+
 TEST_CASE("moves that balance load cause no grants with an outdated token") {
   constexpr int kSeconds = 30;
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
