Keep requests that crash endpoints in the store, for daemons that all start anew

Listed as open before: after a restart of all daemons at the same moment nobody knew the request, and three more endpoints crashed. The router test, which now kills all daemons at once, failed before (502, 6 crashes in place of 3) and passes.

--- a/src/core/crashing_requests.cc
+++ b/src/core/crashing_requests.cc
@@ -1,6 +1,7 @@
 #include "core/crashing_requests.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sycamorestall {
@@ -73,6 +74,7 @@
   for (const Suspicion& each : suspicions_) {
     if (matches(each)) {
       AddCrash(each.request, each.run, each.broke_at);
+      seen_here_.insert(each.request);
     }
   }
   std::erase_if(suspicions_, matches);
@@ -137,6 +139,26 @@
   return std::max(latest + kBlockTime - now, Duration{});
 }
 
+std::vector<RequestFingerprint> CrashingRequests::BlockedByCrashesSeenHere(Instant now) const {
+  std::vector<RequestFingerprint> blocked;
+  std::copy_if(
+      seen_here_.begin(), seen_here_.end(), std::back_inserter(blocked), [&](const auto& each) {
+        return RunsOf(each).size() >= kCrashesUntilBlocked && BlockedFor(each, now) > Duration{};
+      });
+  return blocked;
+}
+
+std::vector<EndpointRun> CrashingRequests::RunsOf(RequestFingerprint request) const {
+  std::vector<EndpointRun> runs;
+  const auto found = crashes_.find(request);
+  if (found != crashes_.end()) {
+    for (const auto& [run, crashed_at] : found->second) {
+      runs.push_back(run);
+    }
+  }
+  return runs;
+}
+
 std::vector<CrashReport> CrashingRequests::TakeReports(Instant now) {
   DiscardOld(now);
   const bool full = now >= next_full_report_at_;
@@ -166,6 +188,7 @@
                 [now](const Suspicion& each) { return now - each.broke_at >= kSuspicionMemory; });
   std::erase_if(crashes_,
                 [now](const auto& each) { return now - LatestCrash(each.second) >= kCrashMemory; });
+  std::erase_if(seen_here_, [this](const auto& each) { return !crashes_.contains(each); });
   std::erase_if(completed_at_,
                 [now](const auto& each) { return now - each.second >= kCrashMemory; });
 }
--- a/src/core/crashing_requests.h
+++ b/src/core/crashing_requests.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "core/boot_clock.h"
@@ -60,6 +61,10 @@
 
   // For how long the request may not be sent; zero if it may be.
   Duration BlockedFor(RequestFingerprint request, Instant now) const;
+  // The blocked requests whose crashes are all certain, and of which this daemon saw at least one.
+  std::vector<RequestFingerprint> BlockedByCrashesSeenHere(Instant now) const;
+  // The runs of endpoints that a request has crashed.
+  std::vector<EndpointRun> RunsOf(RequestFingerprint request) const;
   // Whether nothing is suspected or known, so that no request has to be looked up.
   bool empty() const { return suspicions_.empty() && crashes_.empty(); }
   // What the other daemons should be told: recent crashes, and now and then those of requests that
@@ -86,6 +91,8 @@
 
   std::vector<Suspicion> suspicions_;
   std::map<RequestFingerprint, Crashes> crashes_;
+  // Requests of which a crash was seen here, not only reported.
+  std::set<RequestFingerprint> seen_here_;
   // When requests were last answered: earlier crashes do not count against them.
   std::map<RequestFingerprint, Instant> completed_at_;
   Instant next_full_report_at_;
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -96,6 +96,8 @@
           RegisteredDaemon{settings_.peer, settings_.weight, settings_.domain},
           [this](const std::string& text) { log_.Info(text); },
           [this](std::error_code error) { store_watcher_.RecordCallResult(error); }),
+      crash_registry_(*store_, crashing_requests_,
+                      [this](const std::string& text) { log_.Info(text); }),
       transport_(context_, settings_.peer,
                  [this](const DaemonMessage& message) {
                    try {
@@ -221,6 +223,7 @@
   RemoveMissingEndpoints(now);
   SendStoreUpdates(now);
   registry_.Tick(now);
+  crash_registry_.Tick(now);
   if (now >= next_key_tick_at_) {
     next_key_tick_at_ = now + kKeyTickInterval;
     TickKeyServices(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -13,6 +13,7 @@
 #include "core/endpoint_history.h"
 #include "core/peer_schedule.h"
 #include "net/caller_listener.h"
+#include "router/crash_registry.h"
 #include "router/daemon_registry.h"
 #include "router/daemon_transport.h"
 #include "router/key_service.h"
@@ -168,6 +169,8 @@
   bool watches_for_domain_ = true;
   Instant next_store_update_at_;
   DaemonRegistry registry_;
+  CrashingRequests crashing_requests_;
+  CrashRegistry crash_registry_;
   DaemonTransport transport_;
   EndpointFleet fleet_;
   EndpointHistory endpoint_history_;
@@ -178,7 +181,6 @@
   DomainReachability domains_;
   LeastLatencyChooser chooser_;
   SlidingWindowRetryBudget retry_budget_;
-  CrashingRequests crashing_requests_;
   Metrics metrics_;
   ComponentLog request_log_{"request"};
   ComponentLog log_{"daemon"};
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -89,6 +89,8 @@
   }
   if (item.key.starts_with(kDaemonKeyPrefix)) {
     registry_.AddEntry(item);
+  } else if (item.key.starts_with(kCrashingKeyPrefix)) {
+    crash_registry_.AddEntry(item, now);
   } else if (item.key.starts_with(kOwnershipKeyPrefix)) {
     record_items_[item.key] = item;
     ApplyRecordItem(item);
@@ -205,6 +207,10 @@
     registry_.RemoveEntry(key);
     return ItemEffect::kRemoved;
   }
+  if (key.starts_with(kCrashingKeyPrefix)) {
+    crash_registry_.RemoveEntry(key);
+    return ItemEffect::kRemoved;
+  }
   if (key.starts_with(kOwnershipKeyPrefix)) {
     record_items_.erase(key);
     ApplyRecordItem(item);
--- a/tests/router/crashing_request_test.cc
+++ b/tests/router/crashing_request_test.cc
@@ -34,6 +34,20 @@
                                   {.path = "/pumps/" + name, .method = "POST", .body = "{}"});
   }
 
+  // Checks that every daemon refuses the request, and serves another one.
+  void CheckIsRefused() {
+    const int crashes_before = Crashes();
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      const auto sent_at = std::chrono::steady_clock::now();
+      const CallerAnswer answer = Send(i, "crash");
+      CHECK(answer.status == 503);
+      CHECK(!answer.retry_after.empty());
+      CHECK(std::chrono::steady_clock::now() - sent_at < milliseconds{200});
+      CHECK(Send(i, "harmless").status == 200);
+    }
+    CHECK(Crashes() == crashes_before);
+  }
+
   int Crashes() {
     int crashes = 0;
     for (const auto& each : deployment.pumps) {
@@ -98,15 +112,8 @@
   }
   CHECK(setup.Crashes() == 3);
   std::this_thread::sleep_for(kStableTime);
-  for (std::size_t i = 0; i < 2 * kDaemons; ++i) {
-    const auto sent_at = std::chrono::steady_clock::now();
-    const CallerAnswer answer = setup.Send(i % kDaemons, "crash");
-    CHECK(answer.status == 503);
-    CHECK(!answer.retry_after.empty());
-    CHECK(std::chrono::steady_clock::now() - sent_at < milliseconds{200});
-    CHECK(setup.Send(i % kDaemons, "harmless").status == 200);
-  }
-  CHECK(setup.Crashes() == 3);
+  setup.CheckIsRefused();
+  setup.CheckIsRefused();
   // Restarted daemons hear of it from those that go on.
   for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
     setup.deployment.SendSignal(daemon, SIGKILL);
@@ -115,9 +122,15 @@
     REQUIRE(setup.deployment.WaitUntilServed());
     std::this_thread::sleep_for(milliseconds{2500});
   }
-  for (std::size_t i = 0; i < kDaemons; ++i) {
-    CHECK(setup.Send(i, "crash").status == 503);
-    CHECK(setup.Send(i, "harmless").status == 200);
+  setup.CheckIsRefused();
+  // If all end at once, the store tells them.
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    setup.deployment.SendSignal(daemon, SIGKILL);
   }
-  CHECK(setup.Crashes() == 3);
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    setup.deployment.WaitForExit(daemon, 5);
+    setup.deployment.StartDaemon(daemon);
+  }
+  REQUIRE(setup.deployment.WaitUntilServed());
+  setup.CheckIsRefused();
 }
