Count the age of a hand-over from when its receiver last ran

Listed by an earlier review: a daemon that was frozen while the hand-over waited in its socket renewed grants for longer than the leader that sent it might have, beside the next leader.

--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -218,14 +218,16 @@
                         static_cast<std::uint32_t>(confirmed_ago.count())};
 }
 
-void KeyService::HandleHandOver(const LeadershipHandOver& hand_over, Instant now) {
+void KeyService::HandleHandOver(const LeadershipHandOver& hand_over, Instant sent_after,
+                                Instant now) {
   std::string reason;
   const auto record = DecodeRecord(hand_over.record, reason);
   if (!record) {
     log_.Error("malformed leadership hand-over reason=" + reason);
     return;
   }
-  leader_.AcceptHandOver(*record, now - std::chrono::milliseconds{hand_over.confirmed_ms_ago}, now);
+  leader_.AcceptHandOver(*record,
+                         sent_after - std::chrono::milliseconds{hand_over.confirmed_ms_ago}, now);
   ExecuteActions();
 }
 
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -43,8 +43,11 @@
   void HandleNotOwnerReport(KeyNumber key, const InstanceId& endpoint, Instant now) {
     leader_.HandleNotOwnerReport(key, endpoint, now);
   }
-  // Starts to renew the grants of a stopping leader.
-  void HandleHandOver(const LeadershipHandOver& hand_over, Instant now);
+  // Starts to renew the grants of a stopping leader. The message was sent after `sent_after`: it
+  // may have waited to be read while this daemon did not run.
+  void HandleHandOver(const LeadershipHandOver& hand_over, Instant sent_after, Instant now);
+  // Whether this daemon sends grants, as the leader or in its place.
+  bool SendsGrants() const { return leader_.leading(); }
   // Returns, once, the hand-over to be sent to the successor; empty if there is none.
   std::optional<LeadershipHandOver> ConsumePendingHandOver() {
     return std::exchange(pending_hand_over_, {});
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -213,6 +213,7 @@
 
 void RoutingDaemon::Tick() {
   const Instant now = BootNow();
+  last_tick_at_ = now;
   const bool should_watch = WatchesForDomain(now);
   if (std::exchange(watches_for_domain_, should_watch) != should_watch) {
     log_.Info(should_watch ? "watching the store for the domain"
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -196,6 +196,7 @@
   // The last registered address of each daemon.
   std::map<InstanceId, NetworkAddress> peer_addresses_;
   std::vector<NotOwnerReport> not_owner_reports_;
+  Instant last_tick_at_;
   Instant next_gossip_at_;
   Instant next_demand_at_;
   Instant next_key_tick_at_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -343,7 +343,7 @@
   for (const LeadershipHandOver& hand_over : message.leadership_hand_overs) {
     const auto service = key_services_.find(hand_over.service);
     if (service != key_services_.end()) {
-      service->second->HandleHandOver(hand_over, now);
+      service->second->HandleHandOver(hand_over, last_tick_at_, now);
     }
   }
   for (const DrainReport& report : message.drain_reports) {
--- a/tests/router/key_service_test.cc
+++ b/tests/router/key_service_test.cc
@@ -13,6 +13,8 @@
 #include "clock/system_clock.h"
 #include "core/endpoint_fleet.h"
 #include "platform/order_format.h"
+#include "router/daemon_message.h"
+#include "router/record_codec.h"
 #include "router/repeating_endpoint.h"
 #include "store/scripted_store.h"
 
@@ -95,6 +97,23 @@
     return RunUntil([&answered] { return answered; });
   }
 
+  // Hands the renewals of another leader over to the daemon, which last ran so long ago; then the
+  // daemon goes on without the store. Returns whether it still sends grants.
+  bool SendsGrantsAfterHandOver(milliseconds confirmed_ago, milliseconds ran_ago) {
+    OwnershipRecord record;
+    record.term = {3};
+    record.leader = InstanceId{"other"};
+    record.ranges = {{{0, 99}, InstanceId{"first"}, {1}, {7}}};
+    const Instant now = BootNow();
+    service_.HandleHandOver({Settings().service, EncodeRecord(record),
+                             static_cast<std::uint32_t>(confirmed_ago.count())},
+                            now - ran_ago, now);
+    view_.reachable = false;
+    view_.confirmed_at = now - std::chrono::seconds{20};
+    service_.Tick(fleet_, view_, now);
+    return service_.SendsGrants();
+  }
+
  private:
   static KeyLeaderSettings Settings() {
     KeyLeaderSettings settings;
@@ -163,3 +182,26 @@
     CHECK(std::chrono::duration_cast<milliseconds>(too_early).count() <= 0);
   }
 }
+
+// Guards against a daemon that renews grants for longer than the leader might have, as it was
+// frozen while the message that asked it to waited.
+TEST_CASE("the age of a hand-over includes the time for which its receiver did not run") {
+  struct Row {
+    const char* name;
+    milliseconds confirmed_ago;
+    milliseconds ran_ago;
+    bool sends_grants;
+  };
+  // A leader may send grants for 8 s after it heard from the store.
+  const Row rows[] = {
+      {"read at once", milliseconds{4000}, milliseconds{20}, true},
+      {"read late, in time", milliseconds{4000}, milliseconds{3500}, true},
+      {"read too late", milliseconds{4000}, milliseconds{4500}, false},
+      {"sent too late", milliseconds{8100}, milliseconds{20}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    KeyServiceSetup setup{{}};
+    CHECK(setup.SendsGrantsAfterHandOver(row.confirmed_ago, row.ran_ago) == row.sends_grants);
+  }
+}
