--- a/tests/router/crashing_request_test.cc
+++ b/tests/router/crashing_request_test.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -16,22 +17,39 @@
 
 constexpr std::size_t kDaemons = 3;
 constexpr int kEndpoints = 8;
+constexpr int kOwners = 5;
+constexpr KeyNumber kKey = 7;
 // From a crash until the entry of the endpoint is removed from the list.
 constexpr milliseconds kEntryTimeToLive{400};
 // After this time without other trouble a request that has crashed three endpoints reaches no more.
 constexpr milliseconds kStableTime{3000};
 
-// Pumps that crash when they run a request for /pumps/crash, and lose their entries then.
+// Endpoints that crash when they run a request for "crash", and lose their entries then: pumps,
+// whose requests run once at most, or owners of keys, whose requests are safe.
 struct CrashSetup {
-  CrashSetup() {
-    for (const auto& each : deployment.pumps) {
+  explicit CrashSetup(bool with_keys = false)
+      : keyed{with_keys}, endpoints{with_keys ? deployment.soil : deployment.pumps} {
+    for (const auto& each : endpoints) {
       each->SetCrashingTarget("crash");
     }
   }
 
   CallerAnswer Send(std::size_t daemon, const std::string& name) {
-    return deployment.SendRequest(daemon,
-                                  {.path = "/pumps/" + name, .method = "POST", .body = "{}"});
+    return keyed ? deployment.SendRequest(daemon, {.path = "/soil/" + name, .key = kKey})
+                 : deployment.SendRequest(
+                       daemon, {.path = "/pumps/" + name, .method = "POST", .body = "{}"});
+  }
+
+  // Waits until a daemon serves harmless requests, as a key may have to get another owner.
+  bool WaitUntilHarmlessIsServed(std::size_t daemon) {
+    for (const auto latest = std::chrono::steady_clock::now() + std::chrono::seconds{15};
+         std::chrono::steady_clock::now() < latest;) {
+      if (Send(daemon, "harmless").status == 200) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds{100});
+    }
+    return false;
   }
 
   // Checks that every daemon refuses the request, and serves another one.
@@ -50,7 +68,7 @@
 
   int Crashes() {
     int crashes = 0;
-    for (const auto& each : deployment.pumps) {
+    for (const auto& each : endpoints) {
       crashes += each->CrashCount();
     }
     return crashes;
@@ -59,13 +77,13 @@
   // Sends the request that crashes endpoints, and plays the store's part after a crash.
   CallerAnswer SendCrashing(std::size_t daemon) {
     std::vector<int> counts_before;
-    for (const auto& each : deployment.pumps) {
+    for (const auto& each : endpoints) {
       counts_before.push_back(each->CrashCount());
     }
     CallerAnswer answer = Send(daemon, "crash");
     std::this_thread::sleep_for(kEntryTimeToLive);
     std::size_t i = 0;
-    for (const auto& each : deployment.pumps) {
+    for (const auto& each : endpoints) {
       if (each->CrashCount() > counts_before[i++]) {
         deployment.DeregisterEndpoint(*each);
       }
@@ -74,7 +92,9 @@
     return answer;
   }
 
-  RouterDeployment deployment{static_cast<int>(kDaemons), 1, kEndpoints};
+  RouterDeployment deployment{static_cast<int>(kDaemons), kOwners, kEndpoints};
+  const bool keyed;
+  const std::vector<std::unique_ptr<fakes::KeyEndpoint>>& endpoints;
 };
 
 }  // namespace
@@ -134,3 +154,16 @@
   REQUIRE(setup.deployment.WaitUntilServed());
   setup.CheckIsRefused();
 }
+
+TEST_CASE(
+    "a safe request that crashes the owners of its key is refused, and others for it are not") {
+  CrashSetup setup{true};
+  REQUIRE(setup.deployment.WaitUntilServed());
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    CHECK(setup.SendCrashing(i).status != 200);
+    REQUIRE(setup.WaitUntilHarmlessIsServed(i));
+  }
+  CHECK(setup.Crashes() == 3);
+  std::this_thread::sleep_for(kStableTime);
+  setup.CheckIsRefused();
+}
