--- a/src/core/crashing_requests.cc
+++ b/src/core/crashing_requests.cc
@@ -23,7 +23,8 @@
 constexpr std::chrono::milliseconds kSuspicionDelay{500};
 // An endpoint that has not ended by then has not crashed.
 constexpr std::chrono::seconds kSuspicionMemory{10};
-// How long a crash is reported with each message, and how often those are that may count later.
+// For how long after it became certain a crash is reported with each message. After that, and only
+// if its request has crashed others too, it is reported at this interval.
 constexpr std::chrono::seconds kReportTime{2};
 constexpr std::chrono::seconds kFullReportInterval{2};
 // What does not fit into a message comes with the next ones.
@@ -173,6 +174,7 @@
     }
     const auto& [request, crashes] = *next;
     for (const auto& [run, crashed_at] : crashes) {
+      // It became certain within the first of these times.
       const bool recent = now - crashed_at < kSuspicionMemory + kReportTime;
       if ((recent || (full && crashes.size() > 1)) && reports.size() < kMaxReports) {
         reports.push_back({request, run, MillisecondsSince(crashed_at, now)});
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -219,8 +219,8 @@
   // daemon may have become the leader.
   bool contested_ = false;
   Instant claimed_at_;
-  // For how long after this daemon's claim earlier leaders may go on sending grants, and until when
-  // after it was written.
+  // For how long after this daemon's claim was written earlier leaders may go on sending grants,
+  // and until when that is, once it is written.
   Duration earlier_leaders_time_{};
   Instant earlier_leaders_until_;
   std::optional<Instant> leaderless_since_;
