--- a/src/core/routing_config.h
+++ b/src/core/routing_config.h
@@ -63,6 +63,10 @@
   std::size_t max_connections = 0;
   // How long a key stays slow after moving without its previous owner's state.
   Duration warm_up{};
+  // How long an endpoint is cold after its start, and the requests per second that it bears then; 0
+  // if it bears any rate.
+  Duration cold_time{};
+  double cold_rate = 0;
 
   friend bool operator==(const ServiceConfig&, const ServiceConfig&) = default;
 };
--- a/tests/config/router_settings_test.cc
+++ b/tests/config/router_settings_test.cc
@@ -58,3 +58,29 @@
   CHECK(MaxCallerConnections(8192) + kFiles + kManyConnections <= 8192);
   CHECK(MaxCallerConnections(4100) + kFiles + kFewConnections <= 4100);
 }
+
+TEST_CASE("terms of cold endpoints and evacuations are checked, and not in force by default") {
+  struct Row {
+    std::string line;
+    std::optional<double> factor;
+  };
+  const Row rows[] = {{"", 0},
+                      {"cold_rate_factor = 1.5", 1.5},
+                      {"cold_rate_factor = 2", 2},
+                      {"cold_rate_factor = 0", 0},
+                      {"cold_rate_factor = -1", std::nullopt},
+                      {"cold_rate_factor = \"1\"", std::nullopt},
+                      {"cold_rate_slack = -0.5", std::nullopt},
+                      {"evacuation_s = -1", std::nullopt},
+                      {"evacuation = 1", std::nullopt}};
+  for (const Row& row : rows) {
+    CAPTURE(row.line);
+    const auto parsed =
+        ParseRouterSettings(SettingsWith("") + "[endpoints]\n" + row.line + "\n", "router.toml");
+    const auto* settings = std::get_if<RouterSettings>(&parsed);
+    REQUIRE((settings != nullptr) == row.factor.has_value());
+    if (settings != nullptr) {
+      CHECK(settings->cold_rate_factor == *row.factor);
+    }
+  }
+}
