--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -28,8 +28,8 @@
   std::size_t max_descriptors = 0;
   // Memory that the process may use, in bytes; 0 if that is not limited.
   std::size_t max_memory_bytes = 0;
-  // In any second a cold endpoint may get this multiple of the rate that its service names, plus the
-  // slack, from all daemons together; a factor of 0 means that there is no such limit.
+  // In any second a cold endpoint may get this multiple of the rate that its service names, plus
+  // the slack, from all daemons together; a factor of 0 means that there is no such limit.
   double cold_rate_factor = 0;
   double cold_rate_slack = 0;
   // How long after an evacuation was requested endpoints of the failure domain may get requests; 0
