Let the acting leader claim the leadership when the store is back

The daemon that had renewed the grants gave up when the store was back, and the next leader had to wait 15 s for all grants that earlier ones might have sent. Change: the acting leader claims the leadership if the record still names the leader that handed over, and keeps the hold times of the grants it sent. Grants without an answer at that time count as still on their way. The strongest daemon that is heard becomes acting leader.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -358,8 +358,49 @@
   LoadRanges(record, Duration{}, now);
 }
 
+bool KeyLeader::MayClaimAsActingLeader(const StoreView& store) const {
+  const bool record_is_unchanged =
+      record_.term == handed_over_record_.term && record_.leader == handed_over_record_.leader;
+  return store.reachable && !stepping_down_ && record_is_unchanged && !MayLackChanges() &&
+         store.daemons.contains(settings_.self);
+}
+
+void KeyLeader::ClaimAsActingLeader(Instant now) {
+  std::vector<RangeState> ranges = std::move(ranges_);
+  for (RangeState& state : ranges) {
+    if (state.pending_order != 0) {
+      // The grant that has not been answered may still arrive.
+      state.held_until = std::max(state.held_until, now + MaxGrantDelay() + GrantLifetime());
+    }
+  }
+  BecomeFollower();
+  ClaimLeadership(now);
+  ranges_when_acting_ = std::move(ranges);
+  // The leader that handed over sends no grants any more.
+  earlier_leaders_time_ = record_.earlier_leaders_time;
+}
+
+void KeyLeader::RestoreHoldTimes() {
+  for (RangeState& state : ranges_) {
+    const auto known = std::find_if(
+        ranges_when_acting_.begin(), ranges_when_acting_.end(), [&state](const RangeState& each) {
+          return each.owned.range == state.owned.range && each.owned.owner == state.owned.owner &&
+                 each.owned.incarnation == state.owned.incarnation;
+        });
+    if (known != ranges_when_acting_.end()) {
+      state.held_until = std::max(known->held_until, known->unconfirmed_until);
+      state.older_grant_until = state.held_until;
+    }
+  }
+  ranges_when_acting_.clear();
+}
+
 void KeyLeader::RunAsActingLeader(const StoreView& store, Instant now) {
   const bool store_is_back = store.confirmed_at > acting_since_;
+  if (store_is_back && MayClaimAsActingLeader(store)) {
+    ClaimAsActingLeader(now);
+    return;
+  }
   if (store_is_back || stepping_down_ ||
       now - handed_over_confirmed_at_ >= settings_.grant_authority) {
     LogDecision("no longer acting as leader");
@@ -439,6 +480,7 @@
 void KeyLeader::ClaimLeadership(Instant now) {
   phase_ = Phase::kClaiming;
   claimed_at_ = now;
+  ranges_when_acting_.clear();
   leaderless_since_.reset();
   OwnershipRecord record = record_;
   // A leader that did not step down may go on granting keys until its authority ends, and so may
@@ -488,6 +530,7 @@
   phase_ = Phase::kLeading;
   earlier_leaders_until_ = now + earlier_leaders_time_;
   LoadRanges(record_, earlier_leaders_time_, now);
+  RestoreHoldTimes();
   next_placement_at_ = now + settings_.placement_interval;
   LogDecision("leading term=" + std::to_string(record_.term.value) +
               " ranges=" + std::to_string(ranges_.size()));
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -144,7 +144,7 @@
     return now - peer.heard_at < Schedule().state_time_to_live;
   }
   void HandOverLeadership(Instant now);
-  // The most recently heard daemon that is not stopping; empty if there is none.
+  // The strongest daemon that is heard and not stopping; empty if there is none.
   std::optional<InstanceId> ChooseSuccessor(Instant now) const;
   void BeginStop(Instant now);
   void ContinueStop(Instant now);
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -159,11 +159,11 @@
 
 std::optional<InstanceId> RoutingDaemon::ChooseSuccessor(Instant now) const {
   std::optional<InstanceId> successor;
-  Instant heard_at = now - Schedule().state_time_to_live;
+  double weight = 0;
   for (const auto& [id, peer] : peer_states_) {
-    if (!peer.stopping && peer.heard_at > heard_at) {
+    if (!peer.stopping && IsHeard(peer, now) && (!successor || peer.weight > weight)) {
       successor = id;
-      heard_at = peer.heard_at;
+      weight = peer.weight;
     }
   }
   return successor;
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -416,6 +416,66 @@
   }
 }
 
+// Guards against keys that wait for all grants that an earlier leader may have sent, although this
+// daemon has renewed them alone since that leader handed over, and against giving them on early.
+TEST_CASE("an acting leader that claims the leadership waits only for its own grants") {
+  using std::chrono::milliseconds;
+  struct Row {
+    const char* name;
+    // Whether the record was changed by another leader during the outage.
+    bool record_changed;
+    milliseconds earliest;
+    milliseconds latest;
+  };
+  // The way of a grant, and a lease by a clock that runs slow by 2 in 100.
+  constexpr milliseconds kLongestHold{2800 + 4080};
+  constexpr milliseconds kAuthority{8000};
+  const Row rows[] = {
+      {"alone", false, kLongestHold, kLongestHold + milliseconds{1000}},
+      {"another led meanwhile", true, kAuthority + kLongestHold, milliseconds{30'000}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    OwnershipRecord record;
+    record.term = {3};
+    record.leader = InstanceId{"stopped"};
+    record.highest_token = {8};
+    record.ranges = {{{0, 99}, InstanceId{"gone"}, {}, {7}},
+                     {{100, kKeyCount - 1}, InstanceId{"a"}, {}, {7}}};
+    record.addresses[InstanceId{"gone"}] = {"10.0.0.2", 80};
+    record.addresses[InstanceId{"a"}] = {"10.0.0.1", 80};
+    SingleLeaderSetup setup;
+    setup.AddEndpoint("a", "10.0.0.1");
+    std::optional<Instant> given_on_at;
+    setup.take_grant = [&](const SendGrant& grant) {
+      if (grant.endpoint == InstanceId{"gone"}) {
+        setup.leader.HandleOrderFailure(grant.order, false, setup.now);
+        return true;
+      }
+      if (grant.grant.range.Contains(0) && !given_on_at) {
+        given_on_at = setup.now;
+      }
+      return false;
+    };
+    setup.leader.ApplyRecord(record, {5}, setup.now);
+    setup.revision = {5};
+    setup.leader.AcceptHandOver(record, setup.now, setup.now);
+    const Instant handed_over_at = setup.now;
+    if (row.record_changed) {
+      record.term = {4};
+      record.leader = InstanceId{"other"};
+      setup.leader.ApplyRecord(record, {6}, setup.now);
+      setup.revision = {6};
+    }
+    setup.RunFor(std::chrono::seconds{25});
+    REQUIRE(given_on_at.has_value());
+    CHECK(setup.leader.leading());
+    const auto waited = std::chrono::duration_cast<milliseconds>(*given_on_at - handed_over_at);
+    CHECK(waited.count() >= row.earliest.count());
+    CHECK(waited.count() <= row.latest.count());
+  }
+}
+
 // Guards against two daemons that renew grants: the one that was asked to, and the next leader,
 // which has seen that the last one stepped down.
 TEST_CASE("a leader whose stepping down may have been written hands nothing over") {
