Keep the hold times of an acting leader until the store is back

Cause: the authority of an acting leader ended 0.4 s before the store was back, and with it went what it knew of its grants. Change: it keeps them until it can claim or another daemon has led.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -267,6 +267,9 @@
     return;
   }
   RetryWrite(now);
+  if (phase_ == Phase::kFollowing && !ranges_when_acting_.empty()) {
+    ClaimAfterActing(store, now);
+  }
   if (phase_ != Phase::kLeading) {
     ClaimIfLeaderless(fleet, store, now);
     return;
@@ -358,22 +361,33 @@
   LoadRanges(record, Duration{}, now);
 }
 
-bool KeyLeader::MayClaimAsActingLeader(const StoreView& store) const {
+bool KeyLeader::MayClaimAfterActing() const {
   const bool record_is_unchanged =
       record_.term == handed_over_record_.term && record_.leader == handed_over_record_.leader;
-  return store.reachable && !stepping_down_ && record_is_unchanged && !MayLackChanges() &&
-         store.daemons.contains(settings_.self);
+  return !stepping_down_ && record_is_unchanged && !MayLackChanges();
 }
 
-void KeyLeader::ClaimAsActingLeader(Instant now) {
-  std::vector<RangeState> ranges = std::move(ranges_);
-  for (RangeState& state : ranges) {
+void KeyLeader::StopActing(Instant now) {
+  ranges_when_acting_ = std::move(ranges_);
+  for (RangeState& state : ranges_when_acting_) {
     if (state.pending_order != 0) {
       // The grant that has not been answered may still arrive.
       state.held_until = std::max(state.held_until, now + MaxGrantDelay() + GrantLifetime());
     }
   }
   BecomeFollower();
+}
+
+void KeyLeader::ClaimAfterActing(const StoreView& store, Instant now) {
+  if (!MayClaimAfterActing()) {
+    ranges_when_acting_.clear();
+    return;
+  }
+  const bool store_is_back = store.reachable && store.confirmed_at > acting_since_;
+  if (!store_is_back || !store.daemons.contains(settings_.self)) {
+    return;
+  }
+  std::vector<RangeState> ranges = std::move(ranges_when_acting_);
   ClaimLeadership(now);
   ranges_when_acting_ = std::move(ranges);
   // The leader that handed over sends no grants any more.
@@ -397,18 +411,14 @@
 
 void KeyLeader::RunAsActingLeader(const StoreView& store, Instant now) {
   const bool store_is_back = store.confirmed_at > acting_since_;
-  if (store_is_back && MayClaimAsActingLeader(store)) {
-    ClaimAsActingLeader(now);
-    return;
-  }
   if (store_is_back || stepping_down_ ||
       now - handed_over_confirmed_at_ >= settings_.grant_authority) {
     LogDecision("no longer acting as leader");
-    OwnershipRecord record = std::exchange(handed_over_record_, {});
+    StopActing(now);
     const bool pass_on = stepping_down_ && !store_is_back;
-    BecomeFollower();
     if (pass_on) {
-      actions_.emplace_back(HandOver{std::move(record), handed_over_confirmed_at_});
+      actions_.emplace_back(
+          HandOver{std::exchange(handed_over_record_, {}), handed_over_confirmed_at_});
     }
     return;
   }
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -166,12 +166,15 @@
   // The record whose grants another daemon may renew. It leaves out keys whose next
   // owner may already be named by a write that was not answered.
   OwnershipRecord RecordToHandOver() const;
-  // Whether this acting leader may claim the leadership: the store is back, and its record names
-  // the leader that handed over.
-  bool MayClaimAsActingLeader(const StoreView& store) const;
-  // Claims the leadership. Other daemons would have to wait until all grants that may have been
-  // sent have run out; this one sent the latest itself.
-  void ClaimAsActingLeader(Instant now);
+  // Ends the time as acting leader, and keeps until when owners may hold their keys.
+  void StopActing(Instant now);
+  // Whether the latest record still names the leader that handed over, so that nobody else has led
+  // since.
+  bool MayClaimAfterActing() const;
+  // Claims the leadership after a time as acting leader, once the store is back. Other daemons
+  // would have to wait until all grants that may have been sent have run out; this one sent the
+  // latest itself.
+  void ClaimAfterActing(const StoreView& store, Instant now);
   // Takes over until when owners may hold their keys from the time as acting leader.
   void RestoreHoldTimes();
   // Renews the grants that were handed over until the store is back.
@@ -243,7 +246,8 @@
   // When that leader last heard from the store.
   Instant handed_over_confirmed_at_;
   Instant acting_since_;
-  // The ranges at the end of the time as acting leader, until the claim that follows it is written.
+  // The ranges at the end of the time as acting leader, until a claim of the leadership is written
+  // or another daemon leads.
   std::vector<RangeState> ranges_when_acting_;
   std::uint32_t write_failures_ = 0;
   // No keys are assigned before this time; those freed until then share one write.
