Stop requests to endpoints of evacuated failure domains in time

Cause: nothing reads the operator's key for the evacuation of a failure domain, so its endpoints go on getting requests.

Change: the daemon reads the key from reads, watches and relayed updates and marks the domain's endpoints. Requests that any endpoint can serve stop at once; those for keys stop 2 s before the configured limit, or earlier if this daemon was out of touch with the store before it learned of the evacuation. All choices, retries and resends ask the endpoint's state. The connect timeout ends at the limit, and a request whose bytes are not acknowledged 0.2 s later ends with a reset of its connection. If all endpoints are evacuated, or the owner of a key is, the caller gets 503 with a time to retry at once. When the evacuation is withdrawn, the endpoints count as cold for their service's cold time.

The leader does not move the keys yet.

--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -33,7 +33,7 @@
   double cold_rate_factor = 0;
   double cold_rate_slack = 0;
   // How long after an evacuation was requested endpoints of the failure domain may get requests; 0
-  // if that is not limited.
+  // for as short as possible.
   std::chrono::milliseconds evacuation_time{};
   // Longest time to live of a grant that endpoints accept.
   std::chrono::milliseconds max_grant_time_to_live{};
--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -39,8 +39,7 @@
   std::vector<const EndpointState*> usable;
   std::vector<const EndpointState*> avoided;
   for (const auto& [id, endpoint] : fleet.EndpointsOfService(request.service)) {
-    const bool paused = endpoint->PauseLeft(request.now) > Duration{};
-    if (endpoint->draining() || paused || request.tried.contains(id)) {
+    if (!endpoint->AcceptsRequests(request.now) || request.tried.contains(id)) {
       continue;
     }
     const bool avoid = request.now < endpoint->avoid_until ||
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -71,7 +71,9 @@
 }
 
 bool EndpointState::AcceptsOwnedKeys(Instant now) const {
-  return !draining_since || now - *draining_since < kDrainGrace;
+  const bool drained = draining_since && now - *draining_since >= kDrainGrace;
+  const bool evacuated = evacuation && now >= evacuation->owned_keys_until;
+  return !drained && !evacuated;
 }
 
 double EndpointState::queueing_factor() const {
@@ -88,7 +90,8 @@
     state.in_flight = in_flight;
   }
   state.entry = entry;
-  state.warm_up_ends_at = now + entry.warm_up_left;
+  state.warm_up_ends_at = std::max(now + entry.warm_up_left, AssumedColdUntil(entry));
+  state.evacuation = evacuations_.Find(entry.domain);
   AddToServiceIndex(state);
   UpdateDrainingSince(state, now);
 }
@@ -142,6 +145,48 @@
          AnnounceDraining(*state, now);
 }
 
+bool EndpointFleet::SetEvacuated(const DomainName& domain, bool evacuated, Instant now,
+                                 Instant known_until) {
+  const bool is_new =
+      evacuated ? evacuations_.Begin(domain, known_until, now) : evacuations_.End(domain);
+  const std::optional<Evacuation> evacuation = evacuations_.Find(domain);
+  for (auto& [id, state] : endpoints_) {
+    if (state.entry.domain == domain) {
+      state.evacuation = evacuation;
+    }
+  }
+  return is_new;
+}
+
+bool EndpointFleet::IsEvacuated(const ServiceName& service) const {
+  bool any_evacuated = false;
+  for (const auto& [id, state] : EndpointsOfService(service)) {
+    if (state->AcceptsNewKeys()) {
+      return false;
+    }
+    any_evacuated = any_evacuated || !state->draining();
+  }
+  return any_evacuated;
+}
+
+std::size_t EndpointFleet::AssumeCold(const DomainName& domain, const ServiceName& service,
+                                      Instant until) {
+  assumed_cold_until_[{domain, service}] = until;
+  std::size_t count = 0;
+  for (auto& [id, state] : endpoints_) {
+    if (state.entry.domain == domain && state.entry.service == service) {
+      state.warm_up_ends_at = std::max(state.warm_up_ends_at, until);
+      ++count;
+    }
+  }
+  return count;
+}
+
+Instant EndpointFleet::AssumedColdUntil(const EndpointEntry& entry) const {
+  const auto found = assumed_cold_until_.find({entry.domain, entry.service});
+  return found == assumed_cold_until_.end() ? Instant{} : found->second;
+}
+
 const EndpointState* EndpointFleet::Find(const InstanceId& id) const {
   const auto found = endpoints_.find(id);
   return found == endpoints_.end() ? nullptr : &found->second;
@@ -170,7 +215,7 @@
 Duration EndpointFleet::ShortestPause(const ServiceName& service, Instant now) const {
   std::optional<Duration> shortest;
   for (const auto& [id, state] : EndpointsOfService(service)) {
-    if (!state->draining()) {
+    if (state->AcceptsNewKeys()) {
       const Duration pause = state->PauseLeft(now);
       shortest = shortest ? std::min(*shortest, pause) : pause;
     }
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/decaying_rate.h"
+#include "core/domain_evacuations.h"
 #include "core/endpoint_entry.h"
 #include "core/endpoint_notice.h"
 
@@ -48,6 +50,8 @@
   Instant paused_until;
   // Empty while the endpoint is not draining.
   std::optional<Instant> draining_since;
+  // The evacuation of its failure domain; empty if that is not evacuated.
+  std::optional<Evacuation> evacuation;
   // Requests from this daemon that it runs or has queued.
   std::size_t in_flight = 0;
   // The same for all other daemons, as each of them last reported.
@@ -70,7 +74,13 @@
   bool draining() const { return entry.draining || announced_draining; }
   // How much longer it wants no requests from this daemon; zero if it takes them.
   Duration PauseLeft(Instant now) const { return std::max(paused_until - now, Duration{}); }
-  // Whether requests for keys that it owns may be sent to it. A draining endpoint
+  // Whether requests that other endpoints can serve as well may be sent to it.
+  bool AcceptsRequests(Instant now) const {
+    return AcceptsNewKeys() && PauseLeft(now) == Duration{};
+  }
+  // Whether it may become the owner of keys.
+  bool AcceptsNewKeys() const { return !draining() && !evacuation; }
+  // Whether requests for keys that it owns may be sent to it. A draining or evacuated endpoint
   // accepts them only for a short grace period while its keys move. The period ends
   // even if the keys have not moved, for example because their leader has not heard
   // that the endpoint is draining.
@@ -98,6 +108,21 @@
   // whether that was not known.
   bool HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now);
 
+  // Sets how long after the operator requested an evacuation endpoints may get requests.
+  void SetEvacuationTime(Duration limit) { evacuations_.set_time_limit(limit); }
+  // Notes whether a failure domain is evacuated, which holds for endpoints listed later as well.
+  // This daemon knows that it was not up to `known_until`. Returns whether that is new.
+  bool SetEvacuated(const DomainName& domain, bool evacuated, Instant now, Instant known_until);
+  bool SetEvacuated(const DomainName& domain, bool evacuated, Instant now) {
+    return SetEvacuated(domain, evacuated, now, now);
+  }
+  const DomainEvacuations& evacuations() const { return evacuations_; }
+  // Whether a service has endpoints that are not draining, and all of them are evacuated.
+  bool IsEvacuated(const ServiceName& service) const;
+  // Counts the endpoints of a service in a domain, also those listed later, as cold until then,
+  // whatever their entries say. Returns how many are listed.
+  std::size_t AssumeCold(const DomainName& domain, const ServiceName& service, Instant until);
+
   // Returns null if the endpoint is not listed.
   const EndpointState* Find(const InstanceId& id) const;
   // All endpoints of a service.
@@ -105,7 +130,7 @@
       const ServiceName& service) const;
   const std::map<InstanceId, EndpointState>& all() const { return endpoints_; }
   // How long until an endpoint of the service takes requests again; zero if one does or all are
-  // draining.
+  // draining or evacuated.
   Duration ShortestPause(const ServiceName& service, Instant now) const;
   // Mean service time over the measured endpoints of a service, in seconds; 0 while
   // unknown.
@@ -162,12 +187,17 @@
   EndpointState* FindKnown(const InstanceId& id);
   // The initial state of an incarnation. If it was listed before, what it said then still holds.
   EndpointState MakeState(const EndpointEntry& entry, Instant now);
+  // Until when the endpoint is assumed to be cold, whatever its entry says.
+  Instant AssumedColdUntil(const EndpointEntry& entry) const;
   void AddToServiceIndex(const EndpointState& state);
   void RemoveFromServiceIndex(const EndpointState& state);
   void SetMeanServiceTime(EndpointState& state, double seconds);
   // Adds times to the moving average, each with the weight.
   void AverageServiceTime(EndpointState& state, const ServiceTimes& times, double weight_each);
 
+  DomainEvacuations evacuations_;
+  // Until when endpoints count as cold, by domain and service.
+  std::map<std::pair<DomainName, ServiceName>, Instant> assumed_cold_until_;
   std::map<InstanceId, EndpointState> endpoints_;
   // Kept because entries of live endpoints may lapse and come back.
   std::map<InstanceId, RemovedEndpoint> removed_;
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -70,6 +70,12 @@
   }
 }
 
+void ConnectionPool::FailIfUndelivered(const CallHandle& handle) {
+  if (const auto connection = handle.lock()) {
+    connection->FailIfUndelivered();
+  }
+}
+
 bool ConnectionPool::HasAnswerBegun(const CallHandle& handle) {
   const auto connection = handle.lock();
   return connection && connection->answering();
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -26,6 +26,9 @@
                   Instant now, HttpConnection::Callback callback);
   // Cancels a running call without calling back and resets its connection.
   static void Cancel(const CallHandle& handle);
+  // Fails a running call and resets its connection if the peer has not confirmed the receipt of
+  // the whole request, which may otherwise be delivered later.
+  static void FailIfUndelivered(const CallHandle& handle);
   // Whether a byte of the answer to a running call has arrived.
   static bool HasAnswerBegun(const CallHandle& handle);
   // Closes the idle connections of a peer.
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,5 +1,7 @@
 #include "net/http_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -343,6 +345,18 @@
   }
 }
 
+void HttpConnection::FailIfUndelivered() {
+  if (phase_ == Phase::kConnecting) {
+    FailCall(CallOutcome::kConnectTimedOut, "endpoint accepts no requests any more");
+    return;
+  }
+  int unconfirmed_bytes = 0;
+  const bool known = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unconfirmed_bytes) == 0;
+  if (phase_ == Phase::kCalling && (writing_ || !known || unconfirmed_bytes > 0)) {
+    FailCall(CallOutcome::kBroken, "request not delivered in time");
+  }
+}
+
 void HttpConnection::Reset() {
   callback_ = nullptr;
   ResetOnClose(socket_);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -102,6 +102,8 @@
   // Drops the running call without calling back and resets the connection, so that unsent bytes
   // of the request are not delivered later.
   void Reset();
+  // Fails the running call if the peer has not confirmed the receipt of the whole request.
+  void FailIfUndelivered();
   // Fails the running call if connecting or answering took too long.
   void CheckTimeouts(Instant now);
 
--- a/src/router/formats.h
+++ b/src/router/formats.h
@@ -106,6 +106,9 @@
   virtual bool IsEndpointKey(const std::string& key) const = 0;
   // The id of the endpoint whose entry the key holds.
   virtual InstanceId EndpointIdFromKey(const std::string& key) const = 0;
+  // The failure domain that the operator evacuates with this key, whatever its value; empty if the
+  // key is another one.
+  virtual std::optional<DomainName> EvacuatedDomain(const std::string& key) const = 0;
   // Parses the configuration; empty, with the reason, if it is not valid.
   virtual std::optional<RoutingConfig> ParseConfig(const std::string& text,
                                                    std::string& reason) const = 0;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -32,6 +32,12 @@
 // An endpoint that is down is replaced as owner within seconds.
 constexpr std::chrono::milliseconds kRetryAfterUnreachable{800};
 
+// Daemons learn within this time that an evacuation was withdrawn.
+constexpr std::chrono::milliseconds kRetryAfterEvacuated{1500};
+// Bytes of a request that are not acknowledged this long after the endpoint stopped accepting
+// requests are not sent again. Acknowledgements may be delayed by 40 ms and a busy link.
+constexpr std::chrono::milliseconds kMaxDeliveryTime{200};
+
 // The reason of failures caused by a stop.
 constexpr const char* kDaemonStops = "daemon stops";
 
@@ -150,6 +156,10 @@
       EndpointChoiceRequest{service_, context_.domain, excluded_endpoints_,
                             CrossDomainCostFactor(route_->kind), context_.domains, now,
                             context_.load_age, context_.daemon_count, context_.random()});
+  if (!choice && context_.fleet.IsEvacuated(service_)) {
+    RefuseEvacuated("endpoints evacuated", kRetryAfterEvacuated, now);
+    return;
+  }
   if (!choice) {
     const Duration pause = context_.fleet.ShortestPause(service_, now);
     AnswerFailure("no endpoint", std::max<Duration>(kRetryAfterNoEndpoint, pause), now);
@@ -189,8 +199,12 @@
 void RequestRelay::DispatchToOwner(Instant now) {
   const auto owner = context_.key_directory.OwnerOf(service_, *attributes_.key, now);
   const EndpointState* endpoint = owner ? context_.fleet.Find(*owner) : nullptr;
-  if (endpoint == nullptr || excluded_endpoints_.contains(*owner) ||
-      !endpoint->AcceptsOwnedKeys(now)) {
+  const bool accepts = endpoint != nullptr && endpoint->AcceptsOwnedKeys(now);
+  if (endpoint != nullptr && !accepts && endpoint->evacuation) {
+    RefuseEvacuated("owner evacuated", kRetryAfterUnreachable, now);
+    return;
+  }
+  if (!accepts || excluded_endpoints_.contains(*owner)) {
     WaitForOwner(now);
     return;
   }
@@ -238,6 +252,20 @@
   }
 }
 
+void RequestRelay::RefuseEvacuated(const std::string& reason, Duration retry_after, Instant now) {
+  context_.metrics.IncrementCounter("requests_refused_evacuated_total");
+  AnswerFailure(reason, retry_after, now);
+}
+
+void RequestRelay::StopLateDelivery(Instant now) {
+  const EndpointState* endpoint =
+      context_.fleet.evacuations().all().empty() ? nullptr : context_.fleet.Find(endpoint_);
+  if (endpoint != nullptr && endpoint->evacuation &&
+      !endpoint->AcceptsOwnedKeys(now - kMaxDeliveryTime)) {
+    ConnectionPool::FailIfUndelivered(call_);
+  }
+}
+
 void RequestRelay::Send(const EndpointState& endpoint, Instant now) {
   state_ = State::kAwaitingAnswer;
   ++send_count_;
@@ -254,6 +282,10 @@
   call.matcher = &context_.format;
   call.head_request = exchange_->request().method() == boost::beast::http::verb::head;
   call.connect_timeout = ConnectTimeout(*route_);
+  if (endpoint.evacuation) {
+    call.connect_timeout =
+        std::min(call.connect_timeout, endpoint.evacuation->owned_keys_until - now);
+  }
   context_.fleet.BeginRequest(endpoint_);
   call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
                              [self = shared_from_this()](CallResult result) {
@@ -435,6 +467,10 @@
     GiveUp("time is up", now);
     return;
   }
+  if (state_ == State::kAwaitingAnswer) {
+    StopLateDelivery(now);
+    return;
+  }
   if (state_ == State::kWaitingForOwner || (state_ == State::kWaitingToRetry && now >= retry_at_)) {
     Dispatch(now);
   }
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -95,6 +95,11 @@
   // Like Retry, but excludes the last endpoint.
   bool RetryOtherEndpoint(bool reached_endpoint, Instant now);
   void WaitForOwner(Instant now);
+  // Refuses the request, as all endpoints that could serve it are evacuated.
+  void RefuseEvacuated(const std::string& reason, Duration retry_after, Instant now);
+  // Fails the running call if its endpoint may get no requests any more and the request may still
+  // be on its way.
+  void StopLateDelivery(Instant now);
   // Forwards the endpoint's answer to the caller.
   void ForwardAnswer(HttpAnswer answer, Instant now);
   // Answers 502 if the request may have run, otherwise 503 with a time to retry.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -107,6 +107,7 @@
                    }
                  }),
       retry_budget_(settings_.retries),
+      evacuations_(fleet_, log_, metrics_),
       request_reporter_(request_log_, formats_.requests, metrics_),
       relay_context_{settings_.domain,   fleet_,   domains_,          chooser_, retry_budget_,
                      crashing_requests_, pool_,    formats_.requests, *this,    *this,
@@ -116,6 +117,7 @@
       request_handler_(std::make_unique<RequestHandler>(*this)),
       readiness_handler_(std::make_unique<ReadinessHandler>(*this)),
       metrics_handler_(std::make_unique<MetricsHandler>(*this)) {
+  fleet_.SetEvacuationTime(settings_.evacuation_time);
   caller_listener_ =
       std::make_unique<CallerListener>(context_, settings_.callers, *request_handler_,
                                        MaxCallerConnections(settings_.max_descriptors));
@@ -214,6 +216,7 @@
 void RoutingDaemon::Tick() {
   const Instant now = BootNow();
   last_tick_at_ = now;
+  store_answered_at_ = store_watcher_.last_answer_at();
   const bool should_watch = WatchesForDomain(now);
   if (std::exchange(watches_for_domain_, should_watch) != should_watch) {
     log_.Info(should_watch ? "watching the store for the domain"
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -16,6 +16,7 @@
 #include "router/crash_registry.h"
 #include "router/daemon_registry.h"
 #include "router/daemon_transport.h"
+#include "router/evacuation_registry.h"
 #include "router/key_service.h"
 #include "router/request_relay.h"
 #include "store/store_update_log.h"
@@ -164,6 +165,8 @@
   StoreWatcher store_watcher_;
   StoreUpdateLog update_log_;
   UpdateProgress update_progress_;
+  // When the store gave the answer behind what was known at the latest tick.
+  Instant store_answered_at_;
   // The era of the applied items.
   StoreEra store_era_;
   bool watches_for_domain_ = true;
@@ -184,6 +187,7 @@
   Metrics metrics_;
   ComponentLog request_log_{"request"};
   ComponentLog log_{"daemon"};
+  EvacuationRegistry evacuations_;
   RequestReporter request_reporter_;
   RelayContext relay_context_;
   std::shared_ptr<RouteTable> routes_;
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -87,6 +87,10 @@
   if (formats_.directory.IsEndpointKey(item.key)) {
     return ApplyEndpoint(item, origin, now);
   }
+  if (const auto domain = formats_.directory.EvacuatedDomain(item.key)) {
+    evacuations_.Begin(*domain, store_answered_at_, now);
+    return ItemEffect::kChanged;
+  }
   if (item.key.starts_with(kDaemonKeyPrefix)) {
     registry_.AddEntry(item);
   } else if (item.key.starts_with(kCrashingKeyPrefix)) {
@@ -202,6 +206,10 @@
     RemoveEndpoint(id, now);
     return ItemEffect::kRemoved;
   }
+  if (const auto domain = formats_.directory.EvacuatedDomain(key)) {
+    evacuations_.End(*domain, routes_.get(), now);
+    return ItemEffect::kRemoved;
+  }
   if (key.starts_with(kDaemonKeyPrefix)) {
     log_.Info("daemon removed key=" + key);
     registry_.RemoveEntry(key);
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -56,6 +56,24 @@
   }
 }
 
+// Guards against an evacuation that is not seen, or seen in another key of the operator.
+TEST_CASE("the operator's keys name the failure domains to evacuate") {
+  struct Row {
+    std::string key;
+    std::optional<DomainName> domain;
+  };
+  const Row rows[] = {{"op/evacuate/north", DomainName{"north"}},
+                      {"op/evacuate/a/b", DomainName{"a/b"}},
+                      {"op/evacuate/", std::nullopt},
+                      {"op/evacuate", std::nullopt},
+                      {"op/config", std::nullopt},
+                      {"servers/op/evacuate/north", std::nullopt}};
+  for (const Row& row : rows) {
+    CAPTURE(row.key);
+    CHECK(PlatformDirectoryFormat{}.EvacuatedDomain(row.key) == row.domain);
+  }
+}
+
 TEST_CASE("a configuration is parsed with its routes, traffic split and limits") {
   const std::string text =
       R"({"version":7,"services":[{"name":"soil","sharded":true,"max_conns":110,"warm_s":2.0},)"
