Move the keys of evacuated failure domains in batches

Cause: the leader leaves keys with endpoints of an evacuated domain, so requests for them are refused until the operator withdraws the evacuation.

Endpoints of evacuated domains are no targets, and a range whose grant runs out does not return to one. The progress is logged, and shown in the metrics.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -165,6 +165,7 @@
   write_retry_at_.reset();
   ranges_.clear();
   demand_ = {};
+  evacuation_progress_.Reset();
   actions_.emplace_back(RoutesChanged{});
 }
 
@@ -283,6 +284,8 @@
   if (ranges_.empty()) {
     CreateInitialAssignment(fleet, now);
   }
+  TrackEvacuation(fleet, now);
+  ReleaseEvacuatedKeys(fleet, store, now);
   AdvanceRanges(fleet, store, now);
   PlanMoves(fleet, store, now);
   AssignFreeRanges(fleet, now);
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/endpoint_fleet.h"
+#include "core/evacuation_progress.h"
 #include "core/key_leader_actions.h"
 #include "core/key_placement.h"
 #include "core/key_routes.h"
@@ -56,6 +57,8 @@
   // The latest record known.
   const OwnershipRecord& record() const { return record_; }
   Term term() const { return phase_ == Phase::kActing ? handed_over_record_.term : record_.term; }
+  // While leading: how many keys endpoints of evacuated failure domains own.
+  std::size_t evacuated_keys_left() const { return evacuation_progress_.keys_left(); }
   // The ranges that have a serving owner, sorted by key. All other keys wait for one.
   std::vector<ServedRange> ServedRanges() const;
 
@@ -151,6 +154,15 @@
   // Whether the keys have to be granted to the owner once more before they are
   // released, so that it refuses grants of earlier leaders from then on.
   static bool NeedsGrantBeforeRelease(const RangeState& state, Instant now);
+  // Whether the owner holds the keys no longer, as its grant could not be renewed in time.
+  static bool HasExpired(const RangeState& state, Instant now);
+  // Whether the owner may be asked now to release the keys.
+  static bool IsReleasable(const RangeState& state, const EndpointState& owner, Instant now);
+  // Counts the keys that endpoints of evacuated domains own.
+  std::size_t CountEvacuatedKeys(const EndpointFleet& fleet) const;
+  void TrackEvacuation(const EndpointFleet& fleet, Instant now);
+  // Releases a batch of the keys that endpoints of evacuated domains own.
+  void ReleaseEvacuatedKeys(const EndpointFleet& fleet, const StoreView& store, Instant now);
   void HandleOwnerRestart(RangeState& state, const EndpointEntry& owner);
   void AdvanceExpiringRange(RangeState& state, const EndpointFleet& fleet, Instant now);
   // Whether the owner is missing from the list and another endpoint has its address, so
@@ -175,7 +187,9 @@
   void MarkFree(RangeState& state);
   void AssignFreeRanges(const EndpointFleet& fleet, Instant now);
   void PlanMoves(const EndpointFleet& fleet, const StoreView& store, Instant now);
-  void StartMove(const KeyMove& move);
+  // Asks the owner of the piece, which lies in one range, to release it.
+  void ReleasePiece(const KeyRange& piece, std::optional<InstanceId> target,
+                    const std::string& reason);
   // Joins adjacent ranges that have the same owner and token.
   void MergeAdjacentRanges();
   void StartWrite(OwnershipRecord record, Instant now);
@@ -190,8 +204,10 @@
   std::vector<KeyPlacementTarget> EligibleEndpoints(const EndpointFleet& fleet, Instant now) const;
   // Owners that failed an order recently and have carried out none since.
   std::set<InstanceId> UnresponsiveOwners(Instant now) const;
+  // The target that is loaded least with so many more requests per second.
   std::optional<InstanceId> LeastLoaded(const std::vector<KeyPlacementTarget>& targets,
-                                        const std::map<InstanceId, double>& rates) const;
+                                        const std::map<InstanceId, double>& rates,
+                                        double added_rate) const;
   RangeState* FindRangeByOrder(std::uint64_t order);
   NetworkAddress AddressOf(const InstanceId& endpoint) const;
 
@@ -229,6 +245,8 @@
   std::map<InstanceId, NetworkAddress> addresses_;
   KeyDemand demand_;
   Instant next_placement_at_;
+  EvacuationProgress evacuation_progress_;
+  Instant next_evacuation_batch_at_;
   // The record that a stopping leader handed over. It may lack ranges, so it is never
   // treated as the record in the store.
   OwnershipRecord handed_over_record_;
--- a/src/core/key_leader_orders.cc
+++ b/src/core/key_leader_orders.cc
@@ -57,8 +57,7 @@
                  owner_is_draining ? "owner leaves" : "owner gone from the list");
     return;
   }
-  const bool has_expired = state.order_failures > 1 && now >= state.held_until;
-  if (has_expired) {
+  if (HasExpired(state, now)) {
     LogDecision("grant expired range=" + ToString(state.owned.range) + " endpoint=" +
                 state.owned.owner.value() + " failures=" + std::to_string(state.order_failures));
     state.target.reset();
@@ -71,6 +70,10 @@
   }
 }
 
+bool KeyLeader::HasExpired(const RangeState& state, Instant now) {
+  return state.order_failures > 1 && now >= state.held_until;
+}
+
 bool KeyLeader::NeedsGrantBeforeRelease(const RangeState& state, Instant now) {
   // An owner that does not answer grants will not answer the release either.
   constexpr std::uint32_t kMaxOrderFailures = 2;
@@ -88,7 +91,7 @@
 
 void KeyLeader::AdvanceExpiringRange(RangeState& state, const EndpointFleet& fleet, Instant now) {
   const EndpointState* owner = fleet.Find(state.owned.owner);
-  const bool is_back = owner != nullptr && !owner->draining() &&
+  const bool is_back = owner != nullptr && owner->AcceptsNewKeys() &&
                        owner->entry.incarnation == state.owned.incarnation && !state.target;
   if (is_back) {
     LogDecision("owner available again range=" + ToString(state.owned.range) +
--- a/src/core/key_leader_placement.cc
+++ b/src/core/key_leader_placement.cc
@@ -43,7 +43,7 @@
     // An endpoint that has just ended stays in the list for some seconds.
     const bool unreachable =
         each->consecutive_unreachable > 0 && now - each->last_unreachable_at < kUnresponsiveTime;
-    if (each->draining() || unreachable || unresponsive.contains(each->entry.id)) {
+    if (!each->AcceptsNewKeys() || unreachable || unresponsive.contains(each->entry.id)) {
       continue;
     }
     // The relative number of requests per second that the endpoint can handle.
@@ -73,12 +73,13 @@
 }
 
 std::optional<InstanceId> KeyLeader::LeastLoaded(const std::vector<KeyPlacementTarget>& targets,
-                                                 const std::map<InstanceId, double>& rates) const {
+                                                 const std::map<InstanceId, double>& rates,
+                                                 double added_rate) const {
   std::optional<InstanceId> best;
   double best_load = 0;
   for (const KeyPlacementTarget& target : targets) {
     const auto rate = rates.find(target.id);
-    const double load = (rate == rates.end() ? 0 : rate->second) / target.capacity;
+    const double load = ((rate == rates.end() ? 0 : rate->second) + added_rate) / target.capacity;
     if (!best || load < best_load) {
       best = target.id;
       best_load = load;
@@ -110,7 +111,10 @@
                                                                 return each.id == *state.target;
                                                               }));
     if (!target_is_usable) {
-      state.target = LeastLoaded(targets, rates);
+      // Evacuated keys are many, and some busy: each goes to where there is room for it.
+      const EndpointState* owner = fleet.Find(state.owned.owner);
+      const bool evacuated = owner != nullptr && owner->evacuation;
+      state.target = LeastLoaded(targets, rates, evacuated ? demand_.Rate(state.owned.range) : 0);
     }
     if (!state.target) {
       continue;
@@ -177,30 +181,31 @@
     }
   }
   for (const KeyMove& move : placement_->Plan(movable, demand_, EligibleEndpoints(fleet, now))) {
-    StartMove(move);
+    ReleasePiece(move.range, move.target, "load");
   }
 }
 
-void KeyLeader::StartMove(const KeyMove& move) {
+void KeyLeader::ReleasePiece(const KeyRange& piece, std::optional<InstanceId> target,
+                             const std::string& reason) {
   const auto found = std::find_if(ranges_.begin(), ranges_.end(), [&](const RangeState& state) {
-    return state.owned.range.first <= move.range.first && move.range.last <= state.owned.range.last;
+    return state.owned.range.first <= piece.first && piece.last <= state.owned.range.last;
   });
   if (found == ranges_.end()) {
     return;
   }
   const RangeState original = *found;
   std::vector<RangeState> remainders;
-  if (original.owned.range.first < move.range.first) {
+  if (original.owned.range.first < piece.first) {
     remainders.push_back(original);
-    remainders.back().owned.range.last = move.range.first - 1;
+    remainders.back().owned.range.last = piece.first - 1;
   }
   RangeState moving = original;
-  moving.owned.range = move.range;
-  if (original.owned.range.last > move.range.last) {
+  moving.owned.range = piece;
+  if (original.owned.range.last > piece.last) {
     remainders.push_back(original);
-    remainders.back().owned.range.first = move.range.last + 1;
+    remainders.back().owned.range.first = piece.last + 1;
   }
-  StartRelease(moving, move.target, "load");
+  StartRelease(moving, std::move(target), reason);
   *found = std::move(moving);
   ranges_.insert(ranges_.end(), remainders.begin(), remainders.end());
 }
--- a/src/router/key_service.h
+++ b/src/router/key_service.h
@@ -64,6 +64,8 @@
   void StepDown() { leader_.StepDown(); }
 
   bool is_leader() const { return leader_.leading(); }
+  // While leading: how many keys endpoints of evacuated failure domains own.
+  std::size_t evacuated_keys_left() const { return leader_.evacuated_keys_left(); }
   const KeyRoutes& routes() const { return routes_; }
   // The keys for which a request recently timed out waiting for an owner.
   UnservedKeys& unserved() { return unserved_; }
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -192,6 +192,10 @@
   metrics_.SetGauge(
       "store_answer_age_seconds",
       std::chrono::duration<double>(BootNow() - store_watcher_.last_answer_at()).count());
+  for (const auto& [name, service] : key_services_) {
+    metrics_.SetGauge("evacuated_keys_left{service=\"" + name.value() + "\"}",
+                      static_cast<double>(service->evacuated_keys_left()));
+  }
   if (routes_) {
     metrics_.SetGauge("configuration_version", static_cast<double>(routes_->config().version));
   }
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -153,6 +153,15 @@
        {.writes_late = 0.1, .daemon_kills = 0.2, .drains = 0.3, .store_restores = 0.1}},
       {"store comes back older, and daemons are partitioned from it",
        {.store_partitions = 0.2, .drains = 0.3, .lease_losses = 0.2, .store_restores = 0.1}},
+      {"domains evacuated", {.evacuations = 0.3}},
+      {"domains evacuated, daemons and endpoints killed",
+       {.daemon_kills = 0.3, .endpoint_crashes = 0.2, .evacuations = 0.3}},
+      {"domains evacuated, and partitioned or restarted",
+       {.orders_lost = 0.1,
+        .store_outages = 0.1,
+        .endpoint_partitions = 0.5,
+        .endpoint_restarts = 0.3,
+        .evacuations = 0.3}},
       {"all faults", AllFaults()},
   };
   constexpr int kSeeds = 8;
--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -45,6 +45,7 @@
   for (int i = 0; i < kEndpoints; ++i) {
     FakeEndpoint endpoint;
     endpoint.id = InstanceId{"e" + std::to_string(i)};
+    endpoint.domain = DomainName{i < kEndpoints / 2 ? "north" : "south"};
     endpoint.incarnation = {1};
     endpoint.keys.resize(kKeyCount);
     endpoints_.push_back(std::move(endpoint));
@@ -116,11 +117,13 @@
     EndpointEntry entry;
     entry.id = each.id;
     entry.service = Service();
+    entry.domain = each.domain;
     entry.address = {each.id.value(), 1};
     entry.slots = 4;
     entry.draining = each.draining;
     entry.incarnation = each.incarnation;
     daemon.fleet.Put(entry, Now());
+    daemon.fleet.SetEvacuated(each.domain, evacuated_.contains(each.domain), Now());
   }
   daemon.leader->ApplyRecord(record_, revision_, Now());
 }
@@ -445,6 +448,10 @@
   if (faults_.domain_cuts > 0 && occurs(faults_.domain_cuts)) {
     CutDomain(daemon, endpoint);
   }
+  if (faults_.evacuations > 0 && occurs(faults_.evacuations) &&
+      evacuated_.erase(endpoint.domain) == 0) {
+    evacuated_.insert(endpoint.domain);
+  }
   if (occurs(faults_.drains)) {
     endpoint.draining = !endpoint.draining;
   }
@@ -465,6 +472,9 @@
   if (with_faults) {
     InjectFaults();
   }
+  if (!with_faults) {
+    evacuated_.clear();
+  }
   for (FakeEndpoint& endpoint : endpoints_) {
     if (!endpoint.up && now_ms_ >= endpoint.restart_at_ms) {
       endpoint.up = true;
--- a/tests/core/key_simulation.h
+++ b/tests/core/key_simulation.h
@@ -42,6 +42,8 @@
   double domain_cuts = 0;
   // Outages after which the store has an older copy of its contents.
   double store_restores = 0;
+  // Evacuations of a failure domain that begin, or are withdrawn.
+  double evacuations = 0;
 };
 
 // The result of a run.
@@ -85,6 +87,7 @@
   };
   struct FakeEndpoint {
     InstanceId id;
+    DomainName domain;
     Incarnation incarnation;
     bool up = true;
     bool listed = true;
@@ -152,6 +155,7 @@
   std::vector<StoredRecord> stored_records_;
   std::vector<FakeEndpoint> endpoints_;
   std::vector<FakeDaemon> daemons_;
+  std::set<DomainName> evacuated_;
   std::vector<Event> events_;
   SimulationReport report_;
 };
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -109,10 +109,11 @@
 }
 
 std::string EndpointEntryJson(const std::string& service, const NetworkAddress& address, int slots,
-                              const std::string& state, std::uint64_t start) {
+                              const std::string& state, std::uint64_t start,
+                              const std::string& domain = "north") {
   return json{{"service", service},
               {"address", ToString(address)},
-              {"zone", "north"},
+              {"zone", domain},
               {"version", "v1"},
               {"max_concurrency", slots},
               {"state", state},
@@ -157,7 +158,8 @@
         << "readiness = " << TomlLoopbackAddress(daemon.readiness_port)
         << "metrics = " << TomlLoopbackAddress(daemon.metrics_port)
         << "peer = " << TomlLoopbackAddress(daemon.peer_port)
-        << "[store]\naddress = " << TomlLoopbackAddress(AddressThroughProxy(store.address()).port);
+        << "[store]\naddress = " << TomlLoopbackAddress(AddressThroughProxy(store.address()).port)
+        << "[endpoints]\nevacuation_s = 5\n";
     daemons_.push_back(daemon);
     StartDaemon(daemons_.size() - 1);
   }
@@ -276,12 +278,13 @@
 }
 
 void RouterDeployment::RegisterEndpoint(const fakes::KeyEndpoint& endpoint,
-                                        const std::string& state, std::uint64_t start) {
+                                        const std::string& state, std::uint64_t start,
+                                        const std::string& domain) {
   const bool owns_keys = endpoint.id().starts_with("soil");
   const bool proxied = proxy_addresses_.contains(endpoint.id());
   const NetworkAddress address = proxied ? proxy_addresses_.at(endpoint.id()) : endpoint.address();
   store.Put("servers/" + endpoint.id(),
-            EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start));
+            EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start, domain));
 }
 
 void RouterDeployment::RegisterPumpAt(const std::string& id, const NetworkAddress& address) {
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -53,7 +53,7 @@
                    int route_timeout_s = 1);
   // Writes an endpoint's entry to the store once; it is not renewed.
   void RegisterEndpoint(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
-                        std::uint64_t start = 1);
+                        std::uint64_t start = 1, const std::string& domain = "north");
   // Writes the entry of an endpoint, of the service pumps or soil, that the test runs itself.
   void RegisterPumpAt(const std::string& id, const NetworkAddress& address);
   void RegisterSoilAt(const std::string& id, const NetworkAddress& address);
