--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -253,7 +253,9 @@
 }
 
 void RequestRelay::RefuseEvacuated(const std::string& reason, Duration retry_after, Instant now) {
-  context_.metrics.IncrementCounter("requests_refused_evacuated_total");
+  if (!may_have_run_) {
+    context_.metrics.IncrementCounter("requests_refused_evacuated_total");
+  }
   AnswerFailure(reason, retry_after, now);
 }
 
--- a/tests/net/http_connection_test.cc
+++ b/tests/net/http_connection_test.cc
@@ -398,6 +398,43 @@
   }
 }
 
+// Guards against a request that an endpoint gets after it may get no more, and against one that is
+// broken off although the endpoint has it.
+TEST_CASE("only a request that is not delivered yet is given up when it must not arrive any more") {
+  struct Row {
+    const char* name;
+    std::size_t body_bytes;
+    bool connected;
+    std::optional<CallOutcome> outcome;
+  };
+  const Row rows[] = {
+      {"delivered", 10, true, std::nullopt},
+      {"in part", std::size_t{8} << 20, true, CallOutcome::kBroken},
+      {"still connecting", 10, false, CallOutcome::kConnectTimedOut},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    UnreadingServer server{"", false};
+    Client client;
+    OutgoingCall call;
+    call.message.head = "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nContent-Length: " +
+                        std::to_string(row.body_bytes) + "\r\n\r\n";
+    call.message.body = std::make_shared<const std::string>(row.body_bytes, 'x');
+    call.connect_timeout = std::chrono::seconds{5};
+    std::optional<CallOutcome> outcome;
+    const auto handle =
+        client.pool().Call("peer", server.address(), std::move(call), BootNow(),
+                           [&outcome](const CallResult& result) { outcome = result.outcome; });
+    if (row.connected) {
+      client.Run(std::chrono::milliseconds{200});
+    }
+    ConnectionPool::FailIfUndelivered(handle);
+    CHECK(outcome == row.outcome);
+    ConnectionPool::Cancel(handle);
+    CHECK(server.ReadUntilEnd() == boost::asio::error::connection_reset);
+  }
+}
+
 TEST_CASE("a refused connection is reported as not connected") {
   Client client;
   NetworkAddress unused_address;
