Limit the requests that daemons send to cold endpoints

Cause: an endpoint that has just started bears few requests per second, and every daemon sent it what it sends to a warm one; a restart whose entry names no warm-up, or one that began anew under the same start, was not noticed. The endpoint chooser skips cold endpoints that this daemon may not use, and requests for a cold owner's key get 503 with a time to retry. The fleet knows when an endpoint is cold: by its entry, as it appeared in operation, or as it accepts connections after it refused one. A warm-up that begins anew is relayed. All of it is inactive without cold_rate_factor or the service's rate.

--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -40,7 +40,9 @@
   std::vector<const EndpointState*> avoided;
   for (const auto& [id, endpoint] : fleet.EndpointsOfService(request.service)) {
     const bool paused = endpoint->PauseLeft(request.now) > Duration{};
-    if (endpoint->draining() || paused || request.tried.contains(id)) {
+    const bool limited =
+        request.cold_limiter != nullptr && !request.cold_limiter->MaySend(*endpoint, request.now);
+    if (endpoint->draining() || paused || limited || request.tried.contains(id)) {
       continue;
     }
     const bool avoid = request.now < endpoint->avoid_until ||
--- a/src/core/endpoint_choice.h
+++ b/src/core/endpoint_choice.h
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "core/cold_start_limiter.h"
 #include "core/domain_reachability.h"
 #include "core/endpoint_fleet.h"
 
@@ -25,6 +26,8 @@
   std::size_t daemons = 1;
   // A number that differs between requests, for choices made at random.
   std::uint64_t random = 0;
+  // Endpoints to which it allows no request now are not chosen; null if there is no such limit.
+  const ColdStartLimiter* cold_limiter = nullptr;
 };
 
 // The chosen endpoint and its expected latency in seconds, including queueing.
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -23,6 +23,10 @@
 // For how long after its removal from the list what an endpoint said is remembered. Its entry may
 // come back after an outage of the store.
 constexpr std::chrono::minutes kRemovedEndpointTimeToLive{10};
+// By how much entries may overstate the remaining warm-up, as they are read late.
+constexpr std::chrono::milliseconds kMaxEntryDelay{1000};
+// How long after a restart the list shows it at the latest.
+constexpr std::chrono::milliseconds kRestartListingTime{2000};
 
 // Whether both entries describe the same start of an endpoint.
 bool IsSameStart(const EndpointEntry& left, const EndpointEntry& right) {
@@ -74,6 +78,19 @@
   return !draining_since || now - *draining_since < kDrainGrace;
 }
 
+Instant EndpointState::ColdUntil() const {
+  if (cold_terms.rate == 0) {
+    return {};
+  }
+  const Instant first_warm_at = appeared_in_operation ? listed_at + cold_terms.time : Instant{};
+  return std::max({warm_up_ends_at, first_warm_at, assumed_cold_until});
+}
+
+Instant EndpointState::LimitedUntil() const {
+  const bool may_restart = cold_terms.rate > 0 && refused_at.has_value();
+  return may_restart ? std::max(ColdUntil(), *refused_at + kRestartListingTime) : ColdUntil();
+}
+
 double EndpointState::queueing_factor() const {
   const auto slots = static_cast<double>(std::max<std::size_t>(entry.slots, 1));
   return std::max(1.0, (static_cast<double>(load()) + 1) / slots);
@@ -88,7 +105,12 @@
     state.in_flight = in_flight;
   }
   state.entry = entry;
-  state.warm_up_ends_at = now + entry.warm_up_left;
+  // An entry that is read late overstates what is left, and an earlier one may have been read
+  // later. Within one start the latest end is kept, which is late by kMaxEntryDelay at the most.
+  state.warm_up_ends_at = entry.warm_up_left > Duration{}
+                              ? std::max(state.warm_up_ends_at, now + entry.warm_up_left)
+                              : state.warm_up_ends_at;
+  state.cold_terms = services_[entry.service].cold_terms;
   AddToServiceIndex(state);
   UpdateDrainingSince(state, now);
 }
@@ -96,9 +118,14 @@
 EndpointState EndpointFleet::MakeState(const EndpointEntry& entry, Instant now) {
   EndpointState state;
   state.listed_at = now;
+  state.appeared_in_operation = loaded_;
   const auto removed = removed_.find(entry.id);
   if (removed != removed_.end() && IsSameStart(removed->second.state.entry, entry)) {
     state.listed_at = removed->second.state.listed_at;
+    state.warm_up_ends_at = removed->second.state.warm_up_ends_at;
+    state.appeared_in_operation = removed->second.state.appeared_in_operation;
+    state.assumed_cold_until = removed->second.state.assumed_cold_until;
+    state.refused_at = removed->second.state.refused_at;
     state.announced_draining = removed->second.state.announced_draining;
     state.draining_since = removed->second.state.draining_since;
     state.paused_until = removed->second.state.paused_until;
@@ -142,6 +169,43 @@
          AnnounceDraining(*state, now);
 }
 
+void EndpointFleet::SetColdTerms(const ServiceName& service, const ColdTerms& terms) {
+  services_[service].cold_terms = terms;
+  for (auto& [id, state] : endpoints_) {
+    if (state.entry.service == service) {
+      state.cold_terms = terms;
+    }
+  }
+}
+
+bool EndpointFleet::HasBecomeCold(const EndpointEntry& entry, Instant now) const {
+  const EndpointState* known = Find(entry.id);
+  return known != nullptr && known->cold_terms.rate > 0 && entry.warm_up_left > Duration{} &&
+         now + entry.warm_up_left > known->warm_up_ends_at + kMaxEntryDelay;
+}
+
+void EndpointFleet::AssumeCold(const InstanceId& id, Instant until) {
+  if (EndpointState* state = FindMutable(id)) {
+    state->assumed_cold_until = std::max(state->assumed_cold_until, until);
+  }
+}
+
+void EndpointFleet::HandleRefusedConnection(const InstanceId& id, Instant now) {
+  if (EndpointState* state = FindMutable(id)) {
+    state->refused_at = now;
+  }
+}
+
+bool EndpointFleet::HandleAcceptedConnection(const InstanceId& id, Instant now) {
+  EndpointState* state = FindMutable(id);
+  if (state == nullptr || !state->refused_at) {
+    return false;
+  }
+  state->refused_at.reset();
+  state->assumed_cold_until = std::max(state->assumed_cold_until, now + state->cold_terms.time);
+  return state->cold_terms.rate > 0;
+}
+
 const EndpointState* EndpointFleet::Find(const InstanceId& id) const {
   const auto found = endpoints_.find(id);
   return found == endpoints_.end() ? nullptr : &found->second;
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -34,6 +34,16 @@
   friend bool operator==(const ServiceTimes&, const ServiceTimes&) = default;
 };
 
+// What the endpoints of a service bear after a start.
+struct ColdTerms {
+  // How long an endpoint is cold after its start.
+  Duration time{};
+  // The requests per second that it bears during that time; 0 if it bears any rate.
+  double rate = 0;
+
+  friend bool operator==(const ColdTerms&, const ColdTerms&) = default;
+};
+
 // A daemon's view of one endpoint: its list entry, load and measurements.
 struct EndpointState {
   EndpointEntry entry;
@@ -41,6 +51,15 @@
   Instant listed_at;
   // When the slow phase after its start ends.
   Instant warm_up_ends_at;
+  // The terms of its service; the times below have no effect while their rate is 0.
+  ColdTerms cold_terms;
+  // Whether this incarnation appeared in the list while this daemon was running: it has just
+  // started, even if its entry names no warm-up.
+  bool appeared_in_operation = false;
+  // Until then it counts as cold, whatever its entry says.
+  Instant assumed_cold_until;
+  // When it last refused a connection; empty once it has accepted one since.
+  std::optional<Instant> refused_at;
   // Whether it said in an answer to this or another daemon that it is being removed from service.
   // That holds until it restarts, whatever its entry says.
   bool announced_draining = false;
@@ -75,6 +94,12 @@
   // even if the keys have not moved, for example because their leader has not heard
   // that the endpoint is draining.
   bool AcceptsOwnedKeys(Instant now) const;
+  // When it is warm: in the past if it is warm already, or if it bears any rate when cold.
+  Instant ColdUntil() const;
+  bool IsCold(Instant now) const { return now < ColdUntil(); }
+  // Until when it may get no more requests than a cold endpoint: while it is cold, and after a
+  // refused connection until a restart would be listed.
+  Instant LimitedUntil() const;
   // (load + 1) / slots, at least 1: the factor by which queueing multiplies the
   // service time of the next request.
   double queueing_factor() const;
@@ -98,6 +123,22 @@
   // whether that was not known.
   bool HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now);
 
+  // Sets what the endpoints of a service bear when cold.
+  void SetColdTerms(const ServiceName& service, const ColdTerms& terms);
+  // Notes that all endpoints listed at this daemon's start have been added; incarnations added from
+  // now on have just started.
+  void FinishLoading() { loaded_ = true; }
+  // Whether an entry shows that a known endpoint has become cold again, rather than that its
+  // warm-up runs down as expected.
+  bool HasBecomeCold(const EndpointEntry& entry, Instant now) const;
+  // Treats an endpoint as cold until then, at least.
+  void AssumeCold(const InstanceId& id, Instant until);
+  // Handles a refused connection, and one over which a request was sent. An endpoint that accepts
+  // connections after it refused one may have restarted, and counts as cold. Returns whether that
+  // is so.
+  void HandleRefusedConnection(const InstanceId& id, Instant now);
+  bool HandleAcceptedConnection(const InstanceId& id, Instant now);
+
   // Returns null if the endpoint is not listed.
   const EndpointState* Find(const InstanceId& id) const;
   // All endpoints of a service.
@@ -147,6 +188,7 @@
     std::size_t measured = 0;
     // The slots of all its endpoints.
     std::size_t slots = 0;
+    ColdTerms cold_terms;
     DecayingRate demand;
     std::map<InstanceId, ServiceTimes> measured_times;
   };
@@ -168,6 +210,7 @@
   // Adds times to the moving average, each with the weight.
   void AverageServiceTime(EndpointState& state, const ServiceTimes& times, double weight_each);
 
+  bool loaded_ = false;
   std::map<InstanceId, EndpointState> endpoints_;
   // Kept because entries of live endpoints may lapse and come back.
   std::map<InstanceId, RemovedEndpoint> removed_;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds kRetryAfterDeclined{100};
 // An endpoint that is down is replaced as owner within seconds.
 constexpr std::chrono::milliseconds kRetryAfterUnreachable{800};
+// The keys of an owner that becomes cold are moved within this time.
+constexpr std::chrono::milliseconds kColdKeysMoveTime{1500};
 
 // The reason of failures caused by a stop.
 constexpr const char* kDaemonStops = "daemon stops";
@@ -146,11 +148,16 @@
   }
   context_.fleet.CountDemand(service_, now);
   const auto choice = context_.chooser.Choose(
-      context_.fleet,
-      EndpointChoiceRequest{service_, context_.domain, excluded_endpoints_,
-                            CrossDomainCostFactor(route_->kind), context_.domains, now,
-                            context_.load_age, context_.daemon_count, context_.random()});
+      context_.fleet, EndpointChoiceRequest{service_, context_.domain, excluded_endpoints_,
+                                            CrossDomainCostFactor(route_->kind), context_.domains,
+                                            now, context_.load_age, context_.daemon_count,
+                                            context_.random(), &context_.cold_limiter});
   if (!choice) {
+    const Duration cold = context_.cold_limiter.TimeUntilSend(context_.fleet, service_, now);
+    if (cold > Duration{}) {
+      RefuseCold("endpoints cold", cold, now);
+      return;
+    }
     const Duration pause = context_.fleet.ShortestPause(service_, now);
     AnswerFailure("no endpoint", std::max<Duration>(kRetryAfterNoEndpoint, pause), now);
     return;
@@ -217,9 +224,31 @@
     AnswerFailure("owner full", decision.retry_after, now);
     return;
   }
+  const Duration cold = context_.cold_limiter.TimeUntilSend(*endpoint, now);
+  if (cold > Duration{}) {
+    RefuseCold("owner cold", std::min<Duration>(cold, kColdKeysMoveTime), now);
+    return;
+  }
   Send(*endpoint, now);
 }
 
+void RequestRelay::RefuseCold(const std::string& reason, Duration retry_after, Instant now) {
+  context_.metrics.IncrementCounter("cold_endpoint_refusals_total");
+  AnswerFailure(reason, std::max<Duration>(retry_after, kRetryAfterDeclined), now);
+}
+
+void RequestRelay::RecordConnection(const CallResult& result, Instant now) {
+  if (NothingWasSent(result.outcome)) {
+    context_.cold_limiter.RecordUnsent(endpoint_, sent_at_);
+  }
+  if (result.outcome == CallOutcome::kNotConnected) {
+    context_.fleet.HandleRefusedConnection(endpoint_, now);
+  } else if (result.outcome != CallOutcome::kConnectTimedOut &&
+             context_.fleet.HandleAcceptedConnection(endpoint_, now)) {
+    context_.log.Info("endpoint cold id=" + endpoint_.value() + " reason=\"accepts again\"");
+  }
+}
+
 void RequestRelay::WaitForOwner(Instant now) {
   if (!context_.key_directory.IsOwnerExpectedSoon(service_, *attributes_.key, now)) {
     AnswerFailure("key without owner", kRetryAfterUnreachable, now);
@@ -255,6 +284,10 @@
   call.head_request = exchange_->request().method() == boost::beast::http::verb::head;
   call.connect_timeout = ConnectTimeout(*route_);
   context_.fleet.BeginRequest(endpoint_);
+  if (now < endpoint.LimitedUntil()) {
+    context_.metrics.IncrementCounter("cold_endpoint_requests_total");
+  }
+  context_.cold_limiter.RecordSend(endpoint, now);
   call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
                              [self = shared_from_this()](CallResult result) {
                                self->HandleCallResult(std::move(result), BootNow());
@@ -275,6 +308,7 @@
   }
   last_connection_ = result.connection;
   RecordCrashEvidence(result, now);
+  RecordConnection(result, now);
   if (result.skipped_answers > 0) {
     context_.log.Info("answers to earlier requests skipped id=" + attributes_.id + " endpoint=" +
                       endpoint_.value() + " connection=" + std::to_string(last_connection_) +
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -26,6 +26,7 @@
   EndpointFleet& fleet;
   DomainReachability& domains;
   const EndpointChooser& chooser;
+  ColdStartLimiter& cold_limiter;
   SlidingWindowRetryBudget& retry_budget;
   CrashingRequests& crashing_requests;
   ConnectionPool& pool;
@@ -95,6 +96,10 @@
   // Like Retry, but excludes the last endpoint.
   bool RetryOtherEndpoint(bool reached_endpoint, Instant now);
   void WaitForOwner(Instant now);
+  // Refuses the request, as all endpoints that it could be sent to are cold.
+  void RefuseCold(const std::string& reason, Duration retry_after, Instant now);
+  // Notes what an ended call tells of a restart of the endpoint.
+  void RecordConnection(const CallResult& result, Instant now);
   // Forwards the endpoint's answer to the caller.
   void ForwardAnswer(HttpAnswer answer, Instant now);
   // Answers 502 if the request may have run, otherwise 503 with a time to retry.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -106,11 +106,23 @@
                      HandleUncaughtError("message", error);
                    }
                  }),
+      cold_limiter_(settings_.instance, {settings_.cold_rate_factor, settings_.cold_rate_slack}),
       retry_budget_(settings_.retries),
       request_reporter_(request_log_, formats_.requests, metrics_),
-      relay_context_{settings_.domain,   fleet_,   domains_,          chooser_, retry_budget_,
-                     crashing_requests_, pool_,    formats_.requests, *this,    *this,
-                     request_log_,       metrics_, request_reporter_},
+      relay_context_{settings_.domain,
+                     fleet_,
+                     domains_,
+                     chooser_,
+                     cold_limiter_,
+                     retry_budget_,
+                     crashing_requests_,
+                     pool_,
+                     formats_.requests,
+                     *this,
+                     *this,
+                     request_log_,
+                     metrics_,
+                     request_reporter_},
       timer_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       request_handler_(std::make_unique<RequestHandler>(*this)),
@@ -178,6 +190,10 @@
   }
   metrics_.SetGauge("connections_opened_total", static_cast<double>(pool_.opened_connections()));
   metrics_.SetGauge("daemons_known", static_cast<double>(relay_context_.daemon_count));
+  const Instant now = BootNow();
+  const auto cold = std::count_if(fleet_.all().begin(), fleet_.all().end(),
+                                  [now](const auto& each) { return each.second.IsCold(now); });
+  metrics_.SetGauge("cold_endpoints", static_cast<double>(cold));
   metrics_.SetGauge("endpoints_listed", static_cast<double>(fleet_.all().size()));
   metrics_.SetGauge("caller_connections",
                     static_cast<double>(caller_listener_->open_connections()));
@@ -231,6 +247,7 @@
     HandOverLeadership(now);
   }
   SendMessages(now);
+  UpdateColdLimiter(now);
   const auto relays = active_relays_;
   for (const auto& relay : relays) {
     relay->Tick(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -120,6 +120,11 @@
   void TickKeyServices(Instant now);
   // Sends what is due to the other daemons.
   void SendMessages(Instant now);
+  // Tells the limiter of cold endpoints which daemons there are.
+  void UpdateColdLimiter(Instant now);
+  // Tells the fleet what the endpoints of the configured services bear when cold.
+  void ApplyColdTerms();
+  void LogIfCold(const EndpointEntry& entry, const std::string& reason, Instant now);
   void SendAnnouncements(Instant now);
   // Sends the requests for keys counted here, and reports of endpoints that do not hold theirs, to
   // the leaders of the keys.
@@ -180,6 +185,7 @@
   std::set<std::string> malformed_endpoints_;
   DomainReachability domains_;
   LeastLatencyChooser chooser_;
+  ColdStartLimiter cold_limiter_;
   SlidingWindowRetryBudget retry_budget_;
   Metrics metrics_;
   ComponentLog request_log_{"request"};
@@ -200,6 +206,7 @@
   Instant next_gossip_at_;
   Instant next_demand_at_;
   Instant next_key_tick_at_;
+  Instant next_cold_update_at_;
   Instant next_timeout_check_at_;
   std::optional<Instant> stop_requested_at_;
   boost::asio::steady_timer timer_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -15,6 +15,10 @@
 // A daemon that watches the store updates the others of its domain at least this often.
 constexpr std::chrono::milliseconds kStoreUpdateInterval{400};
 constexpr std::chrono::milliseconds kUnregisteredPeerTimeToLive{10000};
+// How often the known daemons are passed to the limiter of cold endpoints, and for how long one
+// that is not registered counts there after it was heard.
+constexpr std::chrono::milliseconds kColdUpdateInterval{200};
+constexpr std::chrono::milliseconds kColdPeerTimeToLive{5000};
 // Daemons that are not heard get the changes of this period with each update. Their gossip may be
 // lost on a congested outgoing link while updates still reach them.
 constexpr std::chrono::milliseconds kUnconfirmedUpdateTime{5000};
@@ -51,6 +55,24 @@
   SendGossip(now);
 }
 
+void RoutingDaemon::UpdateColdLimiter(Instant now) {
+  if (!cold_limiter_.enabled() || !store_watcher_.loaded() || now < next_cold_update_at_) {
+    return;
+  }
+  next_cold_update_at_ = now + kColdUpdateInterval;
+  std::map<InstanceId, DomainName> daemons{{settings_.instance, settings_.domain}};
+  for (const auto& [id, daemon] : registry_.daemons()) {
+    daemons.emplace(id, daemon.domain);
+  }
+  // Registrations lapse in an outage of the store, while the daemons go on.
+  for (const auto& [id, peer] : peer_states_) {
+    if (!peer.stopping && now - peer.heard_at < kColdPeerTimeToLive) {
+      daemons.emplace(id, peer.domain);
+    }
+  }
+  cold_limiter_.SetDaemons(std::move(daemons), now);
+}
+
 void RoutingDaemon::SendAnnouncements(Instant now) {
   for (const auto& [name, service] : key_services_) {
     for (AnnouncementPart& part : service->PrepareAnnouncements(transport_.peer_count(), now)) {
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -66,6 +66,7 @@
         break;
     }
   }
+  fleet_.FinishLoading();
   ApplyRecords(now);
   next_store_update_at_ = now;
 }
@@ -132,7 +133,15 @@
   const EndpointState* known = fleet_.Find(entry->id);
   // Endpoints rewrite their entries periodically without changes.
   if (known != nullptr && known->entry.EqualsIgnoringWarmUp(*entry)) {
-    return ItemEffect::kNone;
+    const bool has_become_cold = fleet_.HasBecomeCold(*entry, now);
+    if (entry->warm_up_left > Duration{}) {
+      fleet_.Put(*entry, now);
+    }
+    if (!has_become_cold) {
+      return ItemEffect::kNone;
+    }
+    LogIfCold(*entry, "entry", now);
+    return ItemEffect::kChanged;
   }
   log_.Info("endpoint listed id=" + entry->id.value() + " service=" + entry->service.value() +
             " address=" + ToString(entry->address) + " domain=" + entry->domain.value() +
@@ -143,9 +152,26 @@
     RecordEndpointEnd(entry->id, now);
   }
   fleet_.Put(*entry, now);
+  LogIfCold(*entry, entry->warm_up_left > Duration{} ? "entry" : "new start", now);
   return ItemEffect::kChanged;
 }
 
+void RoutingDaemon::LogIfCold(const EndpointEntry& entry, const std::string& reason, Instant now) {
+  const EndpointState* endpoint = fleet_.Find(entry.id);
+  if (endpoint != nullptr && endpoint->IsCold(now)) {
+    log_.Info("endpoint cold id=" + entry.id.value() + " ms=" +
+              FormatMilliseconds(endpoint->ColdUntil() - now) + " reason=\"" + reason + "\"");
+  }
+}
+
+void RoutingDaemon::ApplyColdTerms() {
+  for (const auto& [name, service] : routes_->config().services) {
+    const bool limited = settings_.cold_rate_factor > 0 && service.cold_rate > 0;
+    fleet_.SetColdTerms(name,
+                        limited ? ColdTerms{service.cold_time, service.cold_rate} : ColdTerms{});
+  }
+}
+
 void RoutingDaemon::ApplyRecordItem(const StoreItem& item) {
   const std::string path = item.key.substr(kOwnershipKeyPrefix.size());
   const std::size_t slash = path.find('/');
@@ -235,6 +261,7 @@
             " source=" + ToString(origin.source) + " age_ms=" + FormatMilliseconds(origin.age) +
             " value_bytes=" + std::to_string(item.value.size()) + FormatTransfer(origin.transfer));
   routes_ = std::make_shared<RouteTable>(std::move(*config));
+  ApplyColdTerms();
   AddKeyServices();
   return ItemEffect::kChanged;
 }
