--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -39,7 +39,9 @@
   std::vector<const EndpointState*> usable;
   std::vector<const EndpointState*> avoided;
   for (const auto& [id, endpoint] : fleet.EndpointsOfService(request.service)) {
-    if (!endpoint->AcceptsRequests(request.now) || request.tried.contains(id)) {
+    const bool limited =
+        request.cold_limiter != nullptr && !request.cold_limiter->MaySend(*endpoint, request.now);
+    if (!endpoint->AcceptsRequests(request.now) || limited || request.tried.contains(id)) {
       continue;
     }
     const bool avoid = request.now < endpoint->avoid_until ||
