Admit requests by their latency target, and share contended owners among daemons

Cause: an endpoint was filled to 2.5 requests per slot whatever the latency target was, and each of 34 daemons could have 2 requests in flight at it, 68 in all, on 6 slots and a queue of 24. Most answers came late, and requests beyond the queue were never answered.

Change: AdmissionRoom derives the requests that an endpoint may have from the time left to the latency target, counted from arrival; the priority decides how much of the room beyond the slots a kind may use. Times to retry are spread by a quarter and kept short enough to finish within the target.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -6,13 +6,21 @@
 
 namespace {
 
-// Requests that an endpoint accepts per slot, including running ones. The limit is
-// lower for lower priorities.
+// Requests that an endpoint accepts per slot at most, including running ones. A longer queue does
+// not let it finish more requests.
 constexpr double kMaxQueueingFactor = 2.5;
-constexpr double kQueueingFactorStepPerPriority = 0.25;
+// The expected latency may take this share of the time to the latency target, as half of the
+// requests take longer than expected.
+constexpr double kTargetShare = 0.8;
+// What each step of priority takes from the room beyond the slots.
+constexpr double kRoomStepPerPriority = 0.2;
+constexpr double kMinRoomShare = 0.2;
 constexpr std::chrono::milliseconds kMinRetryAfter{50};
 constexpr std::chrono::milliseconds kMaxRetryAfter{1000};
 constexpr std::chrono::milliseconds kMaxRetryAfterInExcess{10'000};
+// Times to retry are spread by this share to both sides, so that callers who were refused together
+// do not return together.
+constexpr double kRetryAfterSpread = 0.25;
 
 // Callers are spread unevenly over the daemons, so a daemon may use this multiple of
 // an equal share of an endpoint. With many daemons the load from the others is known
@@ -21,11 +29,9 @@
 constexpr double kMinShare = 2.0;
 
 // Returns how many requests this daemon may have in flight at the endpoint.
-std::size_t DaemonShare(const EndpointState& endpoint, double max_queueing_factor,
-                        std::size_t daemons) {
-  const double capacity = max_queueing_factor * static_cast<double>(endpoint.entry.slots);
+std::size_t DaemonShare(double room, std::size_t daemons) {
   const double share =
-      kMaxShareMultiple * capacity / static_cast<double>(std::max<std::size_t>(daemons, 1));
+      kMaxShareMultiple * room / static_cast<double>(std::max<std::size_t>(daemons, 1));
   return static_cast<std::size_t>(std::max(kMinShare, share));
 }
 
@@ -33,25 +39,53 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
 }  // namespace
 
-AdmissionDecision CheckAdmission(const EndpointState& endpoint, double expected_latency_s,
-                                 const AdmissionRequest& request) {
-  const double queueing_factor = endpoint.queueing_factor();
-  const double max_queueing_factor =
-      std::max(1.0, kMaxQueueingFactor - kQueueingFactorStepPerPriority * request.priority);
-  const Duration expected = SecondsToDuration(expected_latency_s);
-  const bool over_share =
-      endpoint.in_flight >= DaemonShare(endpoint, max_queueing_factor, request.daemons);
-  if (queueing_factor <= max_queueing_factor && expected <= request.time_left && !over_share) {
-    return {};
+double AdmissionRoom(const EndpointState& endpoint, double service_time_s,
+                     const AdmissionRequest& request) {
+  const auto slots = static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
+  double queueing_factor = kMaxQueueingFactor;
+  if (request.target_left && service_time_s > 0) {
+    queueing_factor =
+        std::min(queueing_factor, kTargetShare * Seconds(*request.target_left) / service_time_s);
   }
+  const double share = std::max(kMinRoomShare, 1 - kRoomStepPerPriority * request.priority);
+  return slots * (1 + share * std::max(0.0, queueing_factor - 1));
+}
+
+AdmissionDecision RefuseAdmission(const EndpointState& endpoint, double expected_latency_s,
+                                  const AdmissionRequest& request) {
+  const double queueing_factor = endpoint.queueing_factor();
   const double service_time_s = expected_latency_s / queueing_factor;
   const double excess = std::max(1.0, request.demand_ratio);
-  const Duration until_slot_free =
-      SecondsToDuration(service_time_s * (queueing_factor - 1) * excess);
+  const double spread = 1 + kRetryAfterSpread * (2 * request.random - 1);
+  Duration retry_after =
+      SecondsToDuration(service_time_s * (queueing_factor - 1) * excess * spread);
   const Duration max_retry_after = excess > 1 ? kMaxRetryAfterInExcess : kMaxRetryAfter;
-  return {false, std::clamp<Duration>(until_slot_free, kMinRetryAfter, max_retry_after)};
+  retry_after = std::clamp<Duration>(retry_after, kMinRetryAfter, max_retry_after);
+  if (request.target_left) {
+    // The latest time from which the request can still finish within its target.
+    const Duration latest =
+        SecondsToDuration((Seconds(*request.target_left) - service_time_s) * spread);
+    if (latest >= kMinRetryAfter) {
+      retry_after = std::min(retry_after, latest);
+    }
+  }
+  return {false, retry_after};
+}
+
+AdmissionDecision CheckAdmission(const EndpointState& endpoint, double expected_latency_s,
+                                 const AdmissionRequest& request) {
+  const double service_time_s = expected_latency_s / endpoint.queueing_factor();
+  const double room = AdmissionRoom(endpoint, service_time_s, request);
+  const bool fits = static_cast<double>(endpoint.load()) + 1 <= room;
+  const bool over_share = endpoint.in_flight >= DaemonShare(room, request.daemons);
+  if (fits && SecondsToDuration(expected_latency_s) <= request.time_left && !over_share) {
+    return {};
+  }
+  return RefuseAdmission(endpoint, expected_latency_s, request);
 }
 
 }  // namespace sycamorestall
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -17,6 +17,11 @@
   std::size_t daemons = 1;
   // The requests that callers have, as a multiple of what can be run; 0 if unknown.
   double demand_ratio = 0;
+  // Time left until the latency target of the route, counted from the request's arrival. Negative
+  // if the target has passed; empty if there is none.
+  std::optional<Duration> target_left{};
+  // A random number from 0 to 1, which spreads the times to retry.
+  double random = 0.5;
 };
 
 // Whether a request may be sent to an endpoint now, and if not, after which time a slot is likely
@@ -29,10 +34,21 @@
   friend bool operator==(const AdmissionDecision&, const AdmissionDecision&) = default;
 };
 
+// Returns how many requests the endpoint may have, including the running ones and this one, so
+// that this request still finishes within its latency target. It is never less than the number of
+// slots, as a request that gets a free slot delays no other. Requests of lower priority may use
+// only a part of the room beyond the slots.
+double AdmissionRoom(const EndpointState& endpoint, double service_time_s,
+                     const AdmissionRequest& request);
+
 // Decides whether an endpoint can answer one more request in time. Under overload,
-// requests that would miss their deadline are refused at once instead of queueing
+// requests that would miss their latency target are refused at once instead of queueing
 // and delaying others. expected_latency_s includes queueing.
 AdmissionDecision CheckAdmission(const EndpointState& endpoint, double expected_latency_s,
                                  const AdmissionRequest& request);
 
+// The decision that refuses a request, with the time to retry.
+AdmissionDecision RefuseAdmission(const EndpointState& endpoint, double expected_latency_s,
+                                  const AdmissionRequest& request);
+
 }  // namespace sycamorestall
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -173,17 +173,31 @@
   }
 }
 
+std::optional<Duration> RequestRelay::TargetLeft(Instant now) const {
+  if (route_->latency_target <= Duration{}) {
+    return std::nullopt;
+  }
+  return arrived_at_ + route_->latency_target - now;
+}
+
 AdmissionRequest RequestRelay::BuildAdmissionRequest(const EndpointState& endpoint,
                                                      Instant now) const {
   // The other daemons have about as many callers.
   const auto daemons = static_cast<double>(context_.daemon_count);
+  AdmissionRequest request;
+  request.time_left = TimeLeft(now);
+  request.target_left = TargetLeft(now);
+  request.priority = route_->priority;
+  request.random = std::uniform_real_distribution<double>{}(context_.random);
   if (routed_by_key_) {
-    return {TimeLeft(now), route_->priority, context_.daemon_count,
-            daemons * context_.fleet.DemandRatio(endpoint.entry.id, now)};
+    request.daemons = context_.daemon_count;
+    request.demand_ratio = daemons * context_.fleet.DemandRatio(endpoint.entry.id, now);
+  } else {
+    // The endpoint chooser already spreads the load, so no daemon is limited to its share of an
+    // endpoint.
+    request.demand_ratio = daemons * context_.fleet.DemandRatio(service_, now);
   }
-  // The endpoint chooser already spreads the load, so no daemon is limited to its share of an
-  // endpoint.
-  return {TimeLeft(now), route_->priority, 1, daemons * context_.fleet.DemandRatio(service_, now)};
+  return request;
 }
 
 void RequestRelay::DispatchToOwner(Instant now) {
@@ -210,8 +224,8 @@
   context_.fleet.CountDemand(*owner, now);
   const double expected_latency_s =
       ExpectedLatencySeconds(*endpoint, context_.fleet.MeanServiceTimeSeconds(service_), now);
-  const AdmissionDecision decision =
-      CheckAdmission(*endpoint, expected_latency_s, BuildAdmissionRequest(*endpoint, now));
+  const AdmissionDecision decision = context_.owner_admission.Admit(
+      *endpoint, expected_latency_s, BuildAdmissionRequest(*endpoint, now), context_.load_age, now);
   NoteDecisionInputs(*endpoint, expected_latency_s, now);
   if (!decision.admitted) {
     AnswerFailure("owner full", decision.retry_after, now);
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -7,6 +7,7 @@
 #include "core/admission.h"
 #include "core/crashing_requests.h"
 #include "core/endpoint_choice.h"
+#include "core/owner_admission.h"
 #include "core/route_table.h"
 #include "core/sliding_window_retry_budget.h"
 #include "log/log.h"
@@ -35,6 +36,7 @@
   const ComponentLog& log;
   Metrics& metrics;
   RequestReporter& reporter;
+  OwnerAdmission owner_admission;
   // The number of daemons that accept requests, including this one.
   std::size_t daemon_count = 1;
   // How old the loads that they reported may be.
@@ -111,6 +113,8 @@
   RequestSummary Summary() const;
   bool IsSafe() const { return route_->kind == RequestKind::kSafe; }
   Duration TimeLeft(Instant now) const;
+  // Time left until the latency target; empty if the route has none.
+  std::optional<Duration> TargetLeft(Instant now) const;
   AdmissionRequest BuildAdmissionRequest(const EndpointState& endpoint, Instant now) const;
 
   RelayContext& context_;
