Take only refused connections for a sign of a restart

Cause: any failure to connect, such as an unreachable network in a partition, counted as a refusal; after a partition had healed, its endpoints would have counted as cold. So would one whose old connection broke after a refusal. Change: a call tells whether the peer refused its connection, and only requests sent after the refusal show that connections are accepted again.

--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -196,9 +196,10 @@
   }
 }
 
-bool EndpointFleet::HandleAcceptedConnection(const InstanceId& id, Instant now) {
+bool EndpointFleet::HandleAcceptedConnection(const InstanceId& id, Instant sent_at, Instant now) {
   EndpointState* state = FindMutable(id);
-  if (state == nullptr || !state->refused_at) {
+  // The connections of a run that has ended break after others have been refused.
+  if (state == nullptr || !state->refused_at || sent_at < *state->refused_at) {
     return false;
   }
   state->refused_at.reset();
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -133,11 +133,11 @@
   bool HasBecomeCold(const EndpointEntry& entry, Instant now) const;
   // Treats an endpoint as cold until then, at least.
   void AssumeCold(const InstanceId& id, Instant until);
-  // Handles a refused connection, and one over which a request was sent. An endpoint that accepts
-  // connections after it refused one may have restarted, and counts as cold. Returns whether that
-  // is so.
+  // Handle the end of a request that was sent at the given time: its connection was refused, or it
+  // had one. An endpoint that accepts connections after it refused one may have restarted, and
+  // counts as cold. Returns whether that is so.
   void HandleRefusedConnection(const InstanceId& id, Instant now);
-  bool HandleAcceptedConnection(const InstanceId& id, Instant now);
+  bool HandleAcceptedConnection(const InstanceId& id, Instant sent_at, Instant now);
 
   // Returns null if the endpoint is not listed.
   const EndpointState* Find(const InstanceId& id) const;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -127,6 +127,7 @@
       return;
     }
     if (error) {
+      self->refused_ = error == asio::error::connection_refused;
       self->FailCall(CallOutcome::kNotConnected, error.message());
       return;
     }
@@ -359,6 +360,7 @@
   result.reason = std::move(reason);
   result.earlier_answers = answered_calls_;
   result.ended_by_peer = std::exchange(ended_by_peer_, false);
+  result.refused = std::exchange(refused_, false);
   CompleteCall(std::move(result));
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -58,6 +58,8 @@
   int skipped_answers = 0;
   // Whether the peer ended the connection without a byte of an answer.
   bool ended_by_peer = false;
+  // Whether the peer's machine answered that nothing listens at the address.
+  bool refused = false;
 };
 
 // A request to send, with its timeouts.
@@ -186,6 +188,7 @@
   // Answers to earlier requests that came during the running call.
   int skipped_answers_ = 0;
   bool ended_by_peer_ = false;
+  bool refused_ = false;
   Instant idle_since_;
   Instant connect_deadline_;
   std::optional<Duration> peer_idle_timeout_;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -241,10 +241,10 @@
   if (NothingWasSent(result.outcome)) {
     context_.cold_limiter.RecordUnsent(endpoint_, sent_at_);
   }
-  if (result.outcome == CallOutcome::kNotConnected) {
+  if (result.refused) {
     context_.fleet.HandleRefusedConnection(endpoint_, now);
-  } else if (result.outcome != CallOutcome::kConnectTimedOut &&
-             context_.fleet.HandleAcceptedConnection(endpoint_, now)) {
+  } else if (!NothingWasSent(result.outcome) &&
+             context_.fleet.HandleAcceptedConnection(endpoint_, sent_at_, now)) {
     context_.log.Info("endpoint cold id=" + endpoint_.value() + " reason=\"accepts again\"");
   }
 }
--- a/tests/core/cold_start_limiter_test.cc
+++ b/tests/core/cold_start_limiter_test.cc
@@ -258,16 +258,17 @@
     fleet.HandleRefusedConnection(id, At(20));
     CHECK(fleet.Find(id)->LimitedUntil() == At(22));
     CHECK_FALSE(fleet.Find(id)->IsCold(At(20.5)));
-    CHECK(fleet.HandleAcceptedConnection(id, At(20.5)));
+    CHECK_FALSE(fleet.HandleAcceptedConnection(id, At(19.9), At(20.1)));
+    CHECK(fleet.HandleAcceptedConnection(id, At(20.1), At(20.5)));
     CHECK(cold_until_s("warm") == 28.5);
-    CHECK_FALSE(fleet.HandleAcceptedConnection(id, At(21)));
+    CHECK_FALSE(fleet.HandleAcceptedConnection(id, At(20.6), At(21)));
     CHECK(cold_until_s("warm") == 28.5);
   }
   SUBCASE("without terms no endpoint is cold") {
     fleet.SetColdTerms(kService, {});
     fleet.HandleRefusedConnection(InstanceId{"starting"}, At(1));
     CHECK(fleet.Find(InstanceId{"starting"})->LimitedUntil() == Instant{});
-    CHECK_FALSE(fleet.HandleAcceptedConnection(InstanceId{"starting"}, At(2)));
+    CHECK_FALSE(fleet.HandleAcceptedConnection(InstanceId{"starting"}, At(1), At(2)));
   }
 }
 
