Move the keys that a cold owner cannot bear, the busiest first

Cause: an owner that became cold or restarted kept all its keys, and cold endpoints were given keys like others. Change: the leader counts a cold endpoint with the requests that may reach it, the rate that it bears times the share of daemons that may send to it. It gets no keys while warm endpoints have half of the capacity, and gives away what exceeds that rate.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -258,6 +258,7 @@
 
 void KeyLeader::Tick(const EndpointFleet& fleet, const StoreView& store, Instant now) {
   confirmed_at_ = store.confirmed_at;
+  daemon_count_ = std::max<std::size_t>(store.daemons.size(), 1);
   if (phase_ != Phase::kFollowing) {
     UpdateAddresses(fleet);
     demand_.Decay(now);
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -188,6 +188,10 @@
   OwnershipRecord CurrentRecord() const;
   // The endpoints that keys may be assigned to.
   std::vector<KeyPlacementTarget> EligibleEndpoints(const EndpointFleet& fleet, Instant now) const;
+  // Lets cold endpoints give away the keys whose requests they cannot bear, and get none while the
+  // others can take them.
+  void LimitColdEndpoints(const EndpointFleet& fleet, std::vector<KeyPlacementTarget>& targets,
+                          Instant now) const;
   // Owners that failed an order recently and have carried out none since.
   std::set<InstanceId> UnresponsiveOwners(Instant now) const;
   std::optional<InstanceId> LeastLoaded(const std::vector<KeyPlacementTarget>& targets,
@@ -210,6 +214,8 @@
   std::uint64_t next_order_number_ = 1;
   // When the store last confirmed what is known here, as of the latest tick.
   Instant confirmed_at_;
+  // The number of daemons then.
+  std::size_t daemon_count_ = 1;
   // Until then endpoints may hold keys by changes of the record that the store lost, as leaders of
   // an earlier era may have gone on granting them.
   Instant lost_grants_until_;
--- a/src/core/key_leader_placement.cc
+++ b/src/core/key_leader_placement.cc
@@ -15,6 +15,19 @@
 // endpoint without keys gets no orders and so cannot show that it answers again.
 constexpr std::chrono::milliseconds kUnresponsiveTime{3000};
 
+// Cold endpoints get keys only if the warm ones have less than this share of the capacity: they
+// could not run the requests for all keys.
+constexpr double kMinWarmShare = 0.5;
+// The share of its capacity that a cold endpoint has while no service time is known, and at least.
+constexpr double kUnmeasuredColdShare = 0.1;
+constexpr double kMinColdShare = 0.01;
+
+// The targets that may get keys.
+std::vector<KeyPlacementTarget> Receivers(std::vector<KeyPlacementTarget> targets) {
+  std::erase_if(targets, [](const KeyPlacementTarget& each) { return !each.accepts_keys; });
+  return targets;
+}
+
 bool CanMerge(const OwnedRange& left, const OwnedRange& right) {
   return left.range.last + 1 == right.range.first && left.owner == right.owner &&
          left.incarnation == right.incarnation && left.token == right.token;
@@ -55,11 +68,39 @@
     const double max_rate = mean_service_s > 0 ? capacity / mean_service_s : 0;
     targets.push_back({each->entry.id, capacity, max_rate});
   }
+  LimitColdEndpoints(fleet, targets, now);
   return targets;
 }
 
+void KeyLeader::LimitColdEndpoints(const EndpointFleet& fleet,
+                                   std::vector<KeyPlacementTarget>& targets, Instant now) const {
+  double total = 0;
+  double warm = 0;
+  for (const KeyPlacementTarget& target : targets) {
+    total += target.capacity;
+    warm += fleet.Find(target.id)->IsCold(now) ? 0 : target.capacity;
+  }
+  const bool warm_take_all = warm >= kMinWarmShare * total;
+  for (KeyPlacementTarget& target : targets) {
+    const EndpointState& endpoint = *fleet.Find(target.id);
+    if (!endpoint.IsCold(now)) {
+      continue;
+    }
+    // At most as many daemons as its rate has requests may send to it, and callers' requests for
+    // its keys come to all daemons alike.
+    const double rate = endpoint.cold_terms.rate;
+    const double bearable_rate =
+        rate * std::min(1.0, std::max(rate, 1.0) / static_cast<double>(daemon_count_));
+    const double bearable_share =
+        target.max_rate > 0 ? bearable_rate / target.max_rate : kUnmeasuredColdShare;
+    target.capacity *= std::clamp(bearable_share, kMinColdShare, 1.0);
+    target.max_rate = std::min(target.max_rate, bearable_rate);
+    target.accepts_keys = !warm_take_all;
+  }
+}
+
 void KeyLeader::CreateInitialAssignment(const EndpointFleet& fleet, Instant now) {
-  for (const KeyMove& move : SplitKeysByCapacity(EligibleEndpoints(fleet, now))) {
+  for (const KeyMove& move : SplitKeysByCapacity(Receivers(EligibleEndpoints(fleet, now)))) {
     RangeState state;
     state.owned.range = move.range;
     state.phase = RangePhase::kFree;
@@ -94,7 +135,7 @@
   if (pending_write_ || !any_free || now < next_assignment_write_at_) {
     return;
   }
-  const std::vector<KeyPlacementTarget> targets = EligibleEndpoints(fleet, now);
+  const std::vector<KeyPlacementTarget> targets = Receivers(EligibleEndpoints(fleet, now));
   std::map<InstanceId, double> rates;
   for (const RangeState& state : ranges_) {
     rates[state.owned.owner] += demand_.Rate(state.owned.range);
--- a/src/core/key_placement.cc
+++ b/src/core/key_placement.cc
@@ -83,8 +83,9 @@
     const std::size_t max_moves = std::max(kMinMoveLimit, endpoints_.size() / kEndpointsPerMove);
     while (moves_.size() < max_moves) {
       EndpointRate* most_loaded = MostLoaded(exhausted);
-      if (most_loaded == nullptr ||
-          most_loaded->load() <= OverloadThreshold(*most_loaded) * MeanLoad()) {
+      const bool is_even = most_loaded != nullptr && most_loaded->target->accepts_keys &&
+                           most_loaded->load() <= OverloadThreshold(*most_loaded) * MeanLoad();
+      if (most_loaded == nullptr || is_even) {
         break;
       }
       if (!IsBusy(*most_loaded) || !MoveOnePiece(*most_loaded)) {
@@ -116,8 +117,12 @@
     return most_loaded;
   }
 
-  // Whether requests may have to wait at an endpoint.
+  // Whether requests may have to wait at an endpoint. One that is to have few keys gives away all
+  // that exceeds what it can run.
   static bool IsBusy(const EndpointRate& endpoint) {
+    if (!endpoint.target->accepts_keys) {
+      return endpoint.rate > endpoint.target->max_rate;
+    }
     return endpoint.rate >= kMinOverloadUtilization * endpoint.target->max_rate;
   }
 
@@ -134,12 +139,22 @@
     return limit - endpoint.rate;
   }
 
-  EndpointRate& LeastLoaded() {
-    return std::min_element(endpoints_.begin(), endpoints_.end(),
-                            [](const auto& left, const auto& right) {
-                              return left.second.load() < right.second.load();
-                            })
-        ->second;
+  // The requests per second of an endpoint that should be run elsewhere.
+  double ExcessRate(const EndpointRate& endpoint) const {
+    return endpoint.target->accepts_keys ? endpoint.rate - MeanLoad() * endpoint.target->capacity
+                                         : endpoint.rate - endpoint.target->max_rate;
+  }
+
+  // Returns null if no endpoint accepts keys.
+  EndpointRate* LeastLoaded() {
+    EndpointRate* least_loaded = nullptr;
+    for (auto& [id, endpoint] : endpoints_) {
+      if (endpoint.target->accepts_keys &&
+          (least_loaded == nullptr || endpoint.load() < least_loaded->load())) {
+        least_loaded = &endpoint;
+      }
+    }
+    return least_loaded;
   }
 
   // Whether a key alone loads an endpoint more than it should be.
@@ -171,6 +186,7 @@
     };
     for (auto& [id, endpoint] : endpoints_) {
       const bool larger =
+          endpoint.target->accepts_keys &&
           endpoint.target->capacity >= kHotKeyMinCapacityGain * from.target->capacity;
       if (larger && (best == nullptr || load_with_key(endpoint) < load_with_key(*best))) {
         best = &endpoint;
@@ -185,13 +201,17 @@
   }
 
   bool MoveOnePiece(EndpointRate& from) {
-    EndpointRate& to = LeastLoaded();
-    if (&from == &to) {
+    EndpointRate* least_loaded = LeastLoaded();
+    if (least_loaded == nullptr || &from == least_loaded) {
       return false;
     }
-    const double excess = from.rate - MeanLoad() * from.target->capacity;
+    EndpointRate& to = *least_loaded;
+    const double excess = ExcessRate(from);
     const double max_rate = std::min(SpareRate(to, from), excess);
-    std::optional<Piece> piece = FindPiece(from.target->id, max_rate);
+    // Of an endpoint that is to have few keys, a key may also exceed the excess.
+    const double max_key_rate =
+        from.target->accepts_keys ? max_rate : std::min(SpareRate(to, from), from.rate);
+    std::optional<Piece> piece = FindPiece(from.target->id, max_key_rate);
     if (piece) {
       GrowPiece(*piece, from.target->id, max_rate);
     } else if (IsOverloaded(from)) {
--- a/src/core/key_placement.h
+++ b/src/core/key_placement.h
@@ -14,6 +14,8 @@
   double capacity = 1;
   // The requests per second that it can run; 0 while unknown.
   double max_rate = 0;
+  // Whether it may get keys, rather than only give its own away.
+  bool accepts_keys = true;
 };
 
 // A range that is to get a new owner.
--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -76,6 +76,7 @@
   settings.self = daemon.id;
   daemon.leader = std::make_unique<KeyLeader>(settings, std::make_unique<DensePiecePlacement>());
   daemon.fleet = {};
+  daemon.fleet.SetColdTerms(Service(), {std::chrono::seconds{3}, faults_.cold_rate});
   daemon.view = {};
   daemon.next_store_read_ms = now_ms_;
   ++daemon.start_number;
@@ -122,6 +123,7 @@
     entry.incarnation = each.incarnation;
     daemon.fleet.Put(entry, Now());
   }
+  daemon.fleet.FinishLoading();
   daemon.leader->ApplyRecord(record_, revision_, Now());
 }
 
--- a/tests/core/key_simulation.h
+++ b/tests/core/key_simulation.h
@@ -42,6 +42,8 @@
   double domain_cuts = 0;
   // Outages after which the store has an older copy of its contents.
   double store_restores = 0;
+  // Requests per second that an endpoint bears after a start; 0 for any rate.
+  double cold_rate = 0;
 };
 
 // The result of a run.
