--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -77,6 +77,7 @@
   settings.self = daemon.id;
   daemon.leader = std::make_unique<KeyLeader>(settings, std::make_unique<DensePiecePlacement>());
   daemon.fleet = {};
+  daemon.fleet.SetColdTerms(Service(), {std::chrono::seconds{3}, faults_.cold_rate});
   daemon.view = {};
   daemon.next_store_read_ms = now_ms_;
   ++daemon.start_number;
@@ -125,6 +126,7 @@
     daemon.fleet.Put(entry, Now());
     daemon.fleet.SetEvacuated(each.domain, evacuated_.contains(each.domain), Now());
   }
+  daemon.fleet.FinishLoading();
   daemon.leader->ApplyRecord(record_, revision_, Now());
 }
 
--- a/tests/core/key_simulation.h
+++ b/tests/core/key_simulation.h
@@ -44,6 +44,8 @@
   double store_restores = 0;
   // Evacuations of a failure domain that begin, or are withdrawn.
   double evacuations = 0;
+  // Requests per second that an endpoint bears after a start; 0 for any rate.
+  double cold_rate = 0;
 };
 
 // The result of a run.
