Notice at once that an endpoint became slow, and forget it within seconds

Cause: a daemon gets about one answer in two seconds from each of 226 endpoints and averaged service times with a weight of 0.1, so it learned of a slow endpoint within half a minute. Requests without an answer until their deadline were not measured at all.

Change: SlowdownEstimate multiplies the expected service time after an answer that took over twice the average, or a request without an answer, and returns to the average without new evidence.

--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -28,7 +28,8 @@
       endpoint.mean_service_time_s > 0 ? endpoint.mean_service_time_s : fallback;
   const double cold_start_factor =
       endpoint.mean_service_time_s == 0 && now < endpoint.warm_up_ends_at ? kColdStartFactor : 1.0;
-  return service_time_s * endpoint.queueing_factor() * cold_start_factor;
+  return service_time_s * endpoint.slowdown.At(now) * endpoint.queueing_factor() *
+         cold_start_factor;
 }
 
 namespace {
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -276,12 +276,30 @@
   }
   state->consecutive_unreachable = 0;
   if (result == AttemptResult::kServed) {
-    const ServiceTimes times{1, std::chrono::duration<double>(elapsed).count() / queueing_factor};
-    Merge(times, services_[state->entry.service].measured_times[id]);
-    AverageServiceTime(*state, times, kServiceTimeWeight);
+    RecordServiceTime(*state, std::chrono::duration<double>(elapsed).count() / queueing_factor,
+                      now);
   }
 }
 
+void EndpointFleet::EndUnanswered(const InstanceId& id, Duration elapsed, double queueing_factor,
+                                  Instant now) {
+  CancelRequest(id);
+  EndpointState* state = FindMutable(id);
+  const double seconds = std::chrono::duration<double>(elapsed).count() / queueing_factor;
+  if (state != nullptr && state->mean_service_time_s > 0 && seconds > state->mean_service_time_s) {
+    RecordServiceTime(*state, seconds, now);
+  }
+}
+
+void EndpointFleet::RecordServiceTime(EndpointState& state, double seconds, Instant now) {
+  if (state.mean_service_time_s > 0) {
+    state.slowdown.Add(seconds / state.mean_service_time_s, now);
+  }
+  const ServiceTimes times{1, seconds};
+  Merge(times, services_[state.entry.service].measured_times[state.entry.id]);
+  AverageServiceTime(state, times, kServiceTimeWeight);
+}
+
 void EndpointFleet::AddServiceTimes(const InstanceId& id, const ServiceTimes& times) {
   EndpointState* state = FindMutable(id);
   if (state != nullptr && times.count > 0) {
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -8,6 +8,7 @@
 #include "core/decaying_rate.h"
 #include "core/endpoint_entry.h"
 #include "core/endpoint_notice.h"
+#include "core/slowdown_estimate.h"
 
 namespace sycamorestall {
 
@@ -56,6 +57,8 @@
   DecayingRate demand;
   // Moving average of the time it takes to run a request, in seconds; 0 while unknown.
   double mean_service_time_s = 0;
+  // How many times that it takes at present.
+  SlowdownEstimate slowdown;
   // Moving average of failed attempts, 0 to 1.
   double failure_rate = 0;
   // Attempts in a row that ended as kUnreachable, and when the latest one ended.
@@ -130,6 +133,9 @@
   void AddServiceTimes(const InstanceId& id, const ServiceTimes& times);
   // Returns the times measured here since the last call at the endpoints of a service.
   std::map<InstanceId, ServiceTimes> DrainServiceTimes(const ServiceName& service);
+  // Counts a request as finished that got no answer until its deadline. The elapsed time counts as
+  // measured if it is longer than usual: the request would have taken even longer.
+  void EndUnanswered(const InstanceId& id, Duration elapsed, double queueing_factor, Instant now);
   // Counts the request as finished without updating the measurements.
   void CancelRequest(const InstanceId& id);
   // Sets the number of requests that the other daemons have in flight at an endpoint.
@@ -165,6 +171,8 @@
   void AddToServiceIndex(const EndpointState& state);
   void RemoveFromServiceIndex(const EndpointState& state);
   void SetMeanServiceTime(EndpointState& state, double seconds);
+  // Adds the time that a request of this daemon took.
+  void RecordServiceTime(EndpointState& state, double seconds, Instant now);
   // Adds times to the moving average, each with the weight.
   void AverageServiceTime(EndpointState& state, const ServiceTimes& times, double weight_each);
 
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -460,7 +460,11 @@
   }
   if (state_ == State::kAwaitingAnswer) {
     ConnectionPool::Cancel(call_);
-    context_.fleet.CancelRequest(endpoint_);
+    if (now >= deadline_) {
+      context_.fleet.EndUnanswered(endpoint_, now - sent_at_, queueing_factor_when_sent_, now);
+    } else {
+      context_.fleet.CancelRequest(endpoint_);
+    }
     may_have_run_ = true;
   }
   if (may_have_run_) {
