Let requests without keys leave their failure domain only in a shortage

LeastLatencyChooser compares a random sample of the endpoints, of which half are of other domains, at a cost factor of 1.2 (2.0 for uploads). A fifth to a third of the requests left the domain while it had room, and bytes between domains are billed.

CrossDomainPolicy computes ten times a second, for each service without keys, the share of requests that leaves: the load beyond the domain's slots, as far as other domains have spare capacity, small bodies first. It counts the requests in flight of all daemons of the domain, wherever they run, so the share does not swing with the decisions of the others. CrossDomainChooser applies it; a retry, a request that is late at home and not elsewhere, and one without an endpoint at home go anywhere.

--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -33,9 +33,16 @@
 
 namespace {
 
-// The endpoints that accept requests: those to be avoided only if there are no others.
+bool IsPreferred(const EndpointState& endpoint, const EndpointChoiceRequest& request) {
+  return request.preferred_domains == nullptr ||
+         request.preferred_domains->contains(endpoint.entry.domain);
+}
+
+// The endpoints that accept requests: those of other than the preferred domains only if there are
+// no others, and those to be avoided only if there are none of these either.
 std::vector<const EndpointState*> UsableEndpoints(const EndpointFleet& fleet,
                                                   const EndpointChoiceRequest& request) {
+  std::vector<const EndpointState*> preferred;
   std::vector<const EndpointState*> usable;
   std::vector<const EndpointState*> avoided;
   for (const auto& [id, endpoint] : fleet.EndpointsOfService(request.service)) {
@@ -45,7 +52,10 @@
     }
     const bool avoid = request.now < endpoint->avoid_until ||
                        request.domains.IsUnreachable(endpoint->entry.domain, request.now);
-    (avoid ? avoided : usable).push_back(endpoint);
+    (avoid ? avoided : IsPreferred(*endpoint, request) ? preferred : usable).push_back(endpoint);
+  }
+  if (!preferred.empty()) {
+    return preferred;
   }
   return usable.empty() ? avoided : usable;
 }
--- a/src/core/endpoint_choice.h
+++ b/src/core/endpoint_choice.h
@@ -7,6 +7,13 @@
 
 namespace sycamorestall {
 
+// What matters about a request of a service without keys when it might leave its failure domain.
+struct KeylessRequest {
+  std::size_t body_bytes = 0;
+  // The time until its latency target.
+  Duration latency_target{};
+};
+
 // The request that an endpoint is chosen for, and the state that the choice depends on.
 struct EndpointChoiceRequest {
   ServiceName service;
@@ -25,6 +32,10 @@
   std::size_t daemons = 1;
   // A number that differs between requests, for choices made at random.
   std::uint64_t random = 0;
+  // If an endpoint of these domains can be chosen, none of others is; null for any domain.
+  const std::set<DomainName>* preferred_domains = nullptr;
+  // Empty for services with keys.
+  std::optional<KeylessRequest> without_keys{};
 };
 
 // The chosen endpoint and its expected latency in seconds, including queueing.
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -145,11 +145,7 @@
     return;
   }
   context_.fleet.CountDemand(service_, now);
-  const auto choice = context_.chooser.Choose(
-      context_.fleet,
-      EndpointChoiceRequest{service_, context_.domain, excluded_endpoints_,
-                            CrossDomainCostFactor(route_->kind), context_.domains, now,
-                            context_.load_age, context_.daemon_count, context_.random()});
+  const auto choice = context_.chooser.Choose(context_.fleet, BuildChoiceRequest(now));
   if (!choice) {
     const Duration pause = context_.fleet.ShortestPause(service_, now);
     AnswerFailure("no endpoint", std::max<Duration>(kRetryAfterNoEndpoint, pause), now);
@@ -166,6 +162,23 @@
   Send(*endpoint, now);
 }
 
+EndpointChoiceRequest RequestRelay::BuildChoiceRequest(Instant now) const {
+  EndpointChoiceRequest request{service_,
+                                context_.domain,
+                                excluded_endpoints_,
+                                CrossDomainCostFactor(route_->kind),
+                                context_.domains,
+                                now,
+                                context_.load_age,
+                                context_.daemon_count,
+                                context_.random()};
+  if (!routes_->ServiceConfigFor(service_).has_exclusive_keys) {
+    const Duration passed = now - arrived_at_;
+    request.without_keys = {exchange_->body()->size(), route_->latency_target - passed};
+  }
+  return request;
+}
+
 void RequestRelay::NoteDecisionInputs(const EndpointState& endpoint, double expected_latency_s,
                                       Instant now) {
   if (context_.log.IsEnabled(LogLevel::kInfo)) {
@@ -255,6 +268,11 @@
   call.head_request = exchange_->request().method() == boost::beast::http::verb::head;
   call.connect_timeout = ConnectTimeout(*route_);
   context_.fleet.BeginRequest(endpoint_);
+  if (IsAtOtherDomain()) {
+    context_.metrics.IncrementCounter("cross_domain_requests_total{service=\"" + service_.value() +
+                                      "\"}");
+    CountCrossDomainBytes(exchange_->body()->size());
+  }
   call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
                              [self = shared_from_this()](CallResult result) {
                                self->HandleCallResult(std::move(result), BootNow());
@@ -263,12 +281,26 @@
 
 void RequestRelay::FinishAttempt(AttemptResult result, Instant now) {
   context_.fleet.EndRequest(endpoint_, result, now - sent_at_, queueing_factor_when_sent_, now);
+  if (const EndpointState* endpoint = context_.fleet.Find(endpoint_)) {
+    context_.cross_domain.RecordAttempt(service_, endpoint->entry.domain, exchange_->body()->size(),
+                                        result, now - sent_at_, now);
+  }
   context_.metrics.RecordEndpointTime(endpoint_.value(), now - sent_at_);
   context_.metrics.IncrementCounter(std::string{"endpoint_answers_total{evidence=\""} +
                                     ToString(result) + "\"}");
   state_ = State::kIdle;
 }
 
+bool RequestRelay::IsAtOtherDomain() const {
+  const EndpointState* endpoint = context_.fleet.Find(endpoint_);
+  return endpoint != nullptr && endpoint->entry.domain != context_.domain;
+}
+
+void RequestRelay::CountCrossDomainBytes(std::size_t bytes) {
+  context_.metrics.IncrementCounter(
+      "cross_domain_bytes_total{service=\"" + service_.value() + "\"}", static_cast<double>(bytes));
+}
+
 void RequestRelay::HandleCallResult(CallResult result, Instant now) {
   if (finished_) {
     return;
@@ -339,6 +371,9 @@
 }
 
 void RequestRelay::HandleAnswer(CallResult result, Instant now) {
+  if (IsAtOtherDomain()) {
+    CountCrossDomainBytes(result.answer.body().size());
+  }
   context_.endpoint_observer.HandleNotice(endpoint_, context_.format.ParseNotice(result.answer),
                                           sent_at_, now);
   switch (context_.format.ClassifyAnswer(result.answer, attributes_.id)) {
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -6,6 +6,7 @@
 
 #include "core/admission.h"
 #include "core/crashing_requests.h"
+#include "core/cross_domain_policy.h"
 #include "core/endpoint_choice.h"
 #include "core/route_table.h"
 #include "core/sliding_window_retry_budget.h"
@@ -26,6 +27,7 @@
   EndpointFleet& fleet;
   DomainReachability& domains;
   const EndpointChooser& chooser;
+  CrossDomainPolicy& cross_domain;
   SlidingWindowRetryBudget& retry_budget;
   CrashingRequests& crashing_requests;
   ConnectionPool& pool;
@@ -105,6 +107,12 @@
   void GiveUp(const std::string& reason, Instant now);
   void HandleCallerDisconnect();
   void FinishAttempt(AttemptResult result, Instant now);
+  // Counts a request or an answer that crosses the border of the failure domain.
+  void CountCrossDomainBytes(std::size_t bytes);
+  // Whether the endpoint that the request was last sent to is in another failure domain.
+  bool IsAtOtherDomain() const;
+  // What the choice of an endpoint depends on.
+  EndpointChoiceRequest BuildChoiceRequest(Instant now) const;
   // Keeps the inputs of a dispatch decision for the log.
   void NoteDecisionInputs(const EndpointState& endpoint, double expected_latency_s, Instant now);
   // What the reports of this request show.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr std::chrono::milliseconds kKeyTickInterval{40};
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{100};
+constexpr std::chrono::milliseconds kCrossDomainUpdateInterval{100};
 // Requests are still served if they come within this time after a stop is requested; by then
 // callers know that the daemon is not ready.
 constexpr std::chrono::milliseconds kNewRequestGrace{2300};
@@ -108,9 +109,20 @@
                  }),
       retry_budget_(settings_.retries),
       request_reporter_(request_log_, formats_.requests, metrics_),
-      relay_context_{settings_.domain,   fleet_,   domains_,          chooser_, retry_budget_,
-                     crashing_requests_, pool_,    formats_.requests, *this,    *this,
-                     request_log_,       metrics_, request_reporter_},
+      relay_context_{settings_.domain,
+                     fleet_,
+                     domains_,
+                     chooser_,
+                     cross_domain_,
+                     retry_budget_,
+                     crashing_requests_,
+                     pool_,
+                     formats_.requests,
+                     *this,
+                     *this,
+                     request_log_,
+                     metrics_,
+                     request_reporter_},
       timer_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       request_handler_(std::make_unique<RequestHandler>(*this)),
@@ -231,6 +243,10 @@
     HandOverLeadership(now);
   }
   SendMessages(now);
+  if (now >= next_cross_domain_update_at_) {
+    next_cross_domain_update_at_ = now + kCrossDomainUpdateInterval;
+    cross_domain_.Update(fleet_, domains_, now);
+  }
   const auto relays = active_relays_;
   for (const auto& relay : relays) {
     relay->Tick(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -134,6 +134,8 @@
                         const std::vector<EndpointLoad>& latest);
   // Counts the requests that all peers have in flight, leaving out those that are not heard.
   void UpdatePeerLoads(Instant now);
+  // The requests that heard peers have in flight across the border of the own domain.
+  std::map<ServiceName, CrossDomainLoad> CrossDomainLoads(Instant now) const;
   // The daemons to send messages to: registered ones, and those whose registration lapsed
   // but which were heard recently.
   std::map<InstanceId, NetworkAddress> CurrentPeers(Instant now);
@@ -179,7 +181,8 @@
   // The keys of entries that name no endpoint to use.
   std::set<std::string> malformed_endpoints_;
   DomainReachability domains_;
-  LeastLatencyChooser chooser_;
+  CrossDomainPolicy cross_domain_{settings_.domain};
+  CrossDomainChooser chooser_{cross_domain_};
   SlidingWindowRetryBudget retry_budget_;
   Metrics metrics_;
   ComponentLog request_log_{"request"};
@@ -201,6 +204,7 @@
   Instant next_demand_at_;
   Instant next_key_tick_at_;
   Instant next_timeout_check_at_;
+  Instant next_cross_domain_update_at_;
   std::optional<Instant> stop_requested_at_;
   boost::asio::steady_timer timer_;
   boost::asio::signal_set signals_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -293,6 +293,26 @@
     const auto entry = in_flight_by_endpoint.find(id);
     fleet_.SetPeersInFlight(id, entry == in_flight_by_endpoint.end() ? 0 : entry->second);
   }
+  cross_domain_.SetPeerLoads(CrossDomainLoads(now));
+}
+
+std::map<ServiceName, CrossDomainLoad> RoutingDaemon::CrossDomainLoads(Instant now) const {
+  std::map<ServiceName, CrossDomainLoad> loads;
+  for (const auto& [id, peer] : peer_states_) {
+    if (!IsHeard(peer, now)) {
+      continue;
+    }
+    const bool peer_is_near = peer.domain == settings_.domain;
+    for (const EndpointLoad& each : peer.loads) {
+      const EndpointState* endpoint = fleet_.Find(each.endpoint);
+      if (endpoint == nullptr || (endpoint->entry.domain == settings_.domain) == peer_is_near) {
+        continue;
+      }
+      CrossDomainLoad& load = loads[endpoint->entry.service];
+      (peer_is_near ? load.leaving : load.entering) += each.in_flight;
+    }
+  }
+  return loads;
 }
 
 void RoutingDaemon::HandleMessage(const DaemonMessage& message) {
