--- a/src/core/endpoint_choice.h
+++ b/src/core/endpoint_choice.h
@@ -8,6 +8,13 @@
 
 namespace sycamorestall {
 
+// What matters about a request of a service without keys when it might leave its failure domain.
+struct KeylessRequest {
+  std::size_t body_bytes = 0;
+  // The time until its latency target.
+  Duration latency_target{};
+};
+
 // The request that an endpoint is chosen for, and the state that the choice depends on.
 struct EndpointChoiceRequest {
   ServiceName service;
@@ -28,6 +35,10 @@
   std::uint64_t random = 0;
   // Endpoints to which it allows no request now are not chosen; null if there is no such limit.
   const ColdStartLimiter* cold_limiter = nullptr;
+  // If an endpoint of these domains can be chosen, none of others is; null for any domain.
+  const std::set<DomainName>* preferred_domains = nullptr;
+  // Empty for services with keys.
+  std::optional<KeylessRequest> without_keys{};
 };
 
 // The chosen endpoint and its expected latency in seconds, including queueing.
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -153,11 +153,7 @@
     return;
   }
   context_.fleet.CountDemand(service_, now);
-  const auto choice = context_.chooser.Choose(
-      context_.fleet, EndpointChoiceRequest{service_, context_.domain, excluded_endpoints_,
-                                            CrossDomainCostFactor(route_->kind), context_.domains,
-                                            now, context_.load_age, context_.daemon_count,
-                                            context_.random(), &context_.cold_limiter});
+  const auto choice = context_.chooser.Choose(context_.fleet, BuildChoiceRequest(now));
   if (!choice && context_.fleet.IsEvacuated(service_)) {
     RefuseEvacuated("endpoints evacuated", kRetryAfterEvacuated, now);
     return;
@@ -183,6 +179,24 @@
   Send(*endpoint, now);
 }
 
+EndpointChoiceRequest RequestRelay::BuildChoiceRequest(Instant now) const {
+  EndpointChoiceRequest request{service_,
+                                context_.domain,
+                                excluded_endpoints_,
+                                CrossDomainCostFactor(route_->kind),
+                                context_.domains,
+                                now,
+                                context_.load_age,
+                                context_.daemon_count,
+                                context_.random(),
+                                &context_.cold_limiter};
+  if (!routes_->ServiceConfigFor(service_).has_exclusive_keys) {
+    const Duration passed = now - arrived_at_;
+    request.without_keys = {exchange_->body()->size(), route_->latency_target - passed};
+  }
+  return request;
+}
+
 void RequestRelay::NoteDecisionInputs(const EndpointState& endpoint, double expected_latency_s,
                                       Instant now) {
   if (context_.log.IsEnabled(LogLevel::kInfo)) {
@@ -336,6 +350,11 @@
     context_.metrics.IncrementCounter("cold_endpoint_requests_total");
   }
   context_.cold_limiter.RecordSend(endpoint, now);
+  if (IsAtOtherDomain()) {
+    context_.metrics.IncrementCounter("cross_domain_requests_total{service=\"" + service_.value() +
+                                      "\"}");
+    CountCrossDomainBytes(exchange_->body()->size());
+  }
   call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
                              [self = shared_from_this()](CallResult result) {
                                self->HandleCallResult(std::move(result), BootNow());
@@ -344,12 +363,26 @@
 
 void RequestRelay::FinishAttempt(AttemptResult result, Instant now) {
   context_.fleet.EndRequest(endpoint_, result, now - sent_at_, queueing_factor_when_sent_, now);
+  if (const EndpointState* endpoint = context_.fleet.Find(endpoint_)) {
+    context_.cross_domain.RecordAttempt(service_, endpoint->entry.domain, exchange_->body()->size(),
+                                        result, now - sent_at_, now);
+  }
   context_.metrics.RecordEndpointTime(endpoint_.value(), now - sent_at_);
   context_.metrics.IncrementCounter(std::string{"endpoint_answers_total{evidence=\""} +
                                     ToString(result) + "\"}");
   state_ = State::kIdle;
 }
 
+bool RequestRelay::IsAtOtherDomain() const {
+  const EndpointState* endpoint = context_.fleet.Find(endpoint_);
+  return endpoint != nullptr && endpoint->entry.domain != context_.domain;
+}
+
+void RequestRelay::CountCrossDomainBytes(std::size_t bytes) {
+  context_.metrics.IncrementCounter(
+      "cross_domain_bytes_total{service=\"" + service_.value() + "\"}", static_cast<double>(bytes));
+}
+
 void RequestRelay::HandleCallResult(CallResult result, Instant now) {
   if (finished_) {
     return;
@@ -421,6 +454,9 @@
 }
 
 void RequestRelay::HandleAnswer(CallResult result, Instant now) {
+  if (IsAtOtherDomain()) {
+    CountCrossDomainBytes(result.answer.body().size());
+  }
   context_.endpoint_observer.HandleNotice(endpoint_, context_.format.ParseNotice(result.answer),
                                           sent_at_, now);
   switch (context_.format.ClassifyAnswer(result.answer, attributes_.id)) {
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr std::chrono::milliseconds kKeyTickInterval{40};
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{100};
+constexpr std::chrono::milliseconds kCrossDomainUpdateInterval{100};
 // Requests are still served if they come within this time after a stop is requested; by then
 // callers know that the daemon is not ready.
 constexpr std::chrono::milliseconds kNewRequestGrace{2300};
@@ -115,6 +116,7 @@
                      domains_,
                      chooser_,
                      cold_limiter_,
+                     cross_domain_,
                      retry_budget_,
                      crashing_requests_,
                      pool_,
@@ -256,6 +258,10 @@
   }
   SendMessages(now);
   UpdateColdLimiter(now);
+  if (now >= next_cross_domain_update_at_) {
+    next_cross_domain_update_at_ = now + kCrossDomainUpdateInterval;
+    cross_domain_.Update(fleet_, domains_, now);
+  }
   const auto relays = active_relays_;
   for (const auto& relay : relays) {
     relay->Tick(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -140,6 +140,8 @@
                         const std::vector<EndpointLoad>& latest);
   // Counts the requests that all peers have in flight, leaving out those that are not heard.
   void UpdatePeerLoads(Instant now);
+  // The requests that heard peers have in flight across the border of the own domain.
+  std::map<ServiceName, CrossDomainLoad> CrossDomainLoads(Instant now) const;
   // The daemons to send messages to: registered ones, and those whose registration lapsed
   // but which were heard recently.
   std::map<InstanceId, NetworkAddress> CurrentPeers(Instant now);
@@ -189,6 +191,8 @@
   DomainReachability domains_;
   LeastLatencyChooser chooser_;
   ColdStartLimiter cold_limiter_;
+  CrossDomainPolicy cross_domain_{settings_.domain};
+  CrossDomainChooser chooser_{cross_domain_};
   SlidingWindowRetryBudget retry_budget_;
   Metrics metrics_;
   ComponentLog request_log_{"request"};
@@ -212,6 +216,7 @@
   Instant next_key_tick_at_;
   Instant next_cold_update_at_;
   Instant next_timeout_check_at_;
+  Instant next_cross_domain_update_at_;
   std::optional<Instant> stop_requested_at_;
   boost::asio::steady_timer timer_;
   boost::asio::signal_set signals_;
