--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -129,7 +129,8 @@
 }  // namespace
 
 RouterDeployment::RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints,
-                                   ConnectionKind connection_kind)
+                                   ConnectionKind connection_kind,
+                                   const std::string& daemon_settings)
     : connection_kind_(connection_kind), directory_(MakeTempDirectory()) {
   for (int i = 0; i < soil_endpoints; ++i) {
     soil.push_back(std::make_unique<fakes::KeyEndpoint>("soil-" + std::to_string(i), true));
@@ -156,7 +157,7 @@
         << "\"\ndomain = \"north\"\ncallers = " << TomlLoopbackAddress(daemon.caller_port)
         << "readiness = " << TomlLoopbackAddress(daemon.readiness_port)
         << "metrics = " << TomlLoopbackAddress(daemon.metrics_port)
-        << "peer = " << TomlLoopbackAddress(daemon.peer_port)
+        << "peer = " << TomlLoopbackAddress(daemon.peer_port) << daemon_settings
         << "[store]\naddress = " << TomlLoopbackAddress(AddressThroughProxy(store.address()).port);
     daemons_.push_back(daemon);
     StartDaemon(daemons_.size() - 1);
@@ -268,7 +269,7 @@
       {"services", {{{"name", "soil"}, {"sharded", true}, {"warm_s", 2.0}}, {{"name", "pumps"}}}},
       {"limits",
        {{"max_header_bytes", 16384},
-        {"max_body_bytes", 1 << 20},
+        {"max_body_bytes", max_body_bytes_},
         {"header_timeout_s", 3},
         {"idle_timeout_s", 15}}},
       {"hosts", {{{"host", "h.example"}, {"paths", routes}}}}};
@@ -304,6 +305,12 @@
   throw std::runtime_error("the daemon's memory use is not known");
 }
 
+std::size_t RouterDeployment::OpenDescriptors(std::size_t number) const {
+  const std::filesystem::directory_iterator descriptors{
+      "/proc/" + std::to_string(daemons_.at(number).pid) + "/fd"};
+  return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 void RouterDeployment::DeregisterEndpoint(const fakes::KeyEndpoint& endpoint) {
   store.Remove("servers/" + endpoint.id());
 }
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -41,8 +41,10 @@
 // requests are unsafe.
 class RouterDeployment {
  public:
+  // The daemon settings are lines of TOML for the table daemon of each daemon's settings.
   RouterDeployment(int daemons, int soil_endpoints, int pump_endpoints,
-                   ConnectionKind connection_kind = ConnectionKind::kDirect);
+                   ConnectionKind connection_kind = ConnectionKind::kDirect,
+                   const std::string& daemon_settings = {});
   ~RouterDeployment();
   RouterDeployment(const RouterDeployment&) = delete;
   RouterDeployment& operator=(const RouterDeployment&) = delete;
@@ -51,6 +53,8 @@
   // of the unused routes are the same in each version, and compress badly.
   void WriteConfig(int version, const std::string& pump_prefix = "/pumps/", int unused_routes = 0,
                    int route_timeout_s = 1);
+  // The longest body that the configurations written from now on allow, in bytes.
+  void SetMaxBodyBytes(std::size_t bytes) { max_body_bytes_ = bytes; }
   // Writes an endpoint's entry to the store once; it is not renewed.
   void RegisterEndpoint(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
                         std::uint64_t start = 1);
@@ -76,6 +80,8 @@
   const std::string& directory() const { return directory_; }
   // The largest memory use of a daemon so far, in bytes.
   std::size_t PeakMemoryBytes(std::size_t number) const;
+  // Number of descriptors that a daemon has open now.
+  std::size_t OpenDescriptors(std::size_t number) const;
   // The log output of a daemon so far.
   std::string ReadLog(std::size_t number) const;
 
@@ -116,6 +122,7 @@
   std::string directory_;
   std::vector<Daemon> daemons_;
   int next_id_ = 1;
+  std::size_t max_body_bytes_ = std::size_t{1} << 20;
 };
 
 }  // namespace sycamorestall::testing
