Answer 502 where an endpoint's refusal does not prove that nothing ran

An endpoint that ran an unsafe request and failed it with 408, 421, 429 or 503 of its own had this status passed on. Callers take these for the guarantee that nothing was executed and send the request again, so it ran twice.

--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -457,6 +457,13 @@
 }
 
 void RequestRelay::ForwardAnswer(HttpAnswer answer, Instant now) {
+  // The caller would send the request again, though the endpoint may have run it.
+  if (!IsSafe() && http::DeniesExecution(answer.result_int())) {
+    AnswerLocally(http::kBadGateway,
+                  "unproven refusal: status " + std::to_string(answer.result_int()), std::nullopt,
+                  now);
+    return;
+  }
   finished_ = true;
   context_.reporter.ReportOutcome(Summary(), answer.result_int(), "answered", now);
   OutgoingMessage message;
