--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -237,3 +237,21 @@
     CHECK_FALSE(notice.draining);
   }
 }
+
+// Guards against an overflow that turns a long time into one that has passed.
+TEST_CASE("timeouts of callers that are absurdly long count as a day") {
+  struct Row {
+    std::string value;
+    std::optional<Duration> timeout;
+  };
+  const Row rows[] = {{"250", std::chrono::milliseconds{250}},
+                      {"99999999999999999", std::chrono::hours{24}},
+                      {"9223372036854775807", std::chrono::hours{24}},
+                      {"9223372036854775808", std::nullopt}};
+  for (const Row& row : rows) {
+    CAPTURE(row.value);
+    HttpRequest request;
+    request.set("X-Deadline-Ms", row.value);
+    CHECK(platform::PlatformRequestFormat{}.ParseRequest(request).caller_timeout == row.timeout);
+  }
+}
