Account for the memory that callers and endpoints make a daemon hold

Each body, head and answer had a limit by itself and nothing limited the sum, so many callers at once could make a daemon exceed the memory of its machine. A memory account now covers requests that are being read, bodies and heads of open requests, answers that are not written yet and answers of endpoints that are being received. Its limit follows from daemon.memory_mb. When it is exceeded, the connection that holds most and progresses least is refused with 503, as nothing of its request has run, or closed. Trailers and chunk extensions count toward max_header_bytes, a chunked body gets its room at once instead of being copied while it grows, a connection reads no further requests while the open ones hold 1 MiB, and freed memory is returned to the system. A request is read with the limits that apply when it begins, also on a connection that was idle before.

--- a/src/net/answer_memory.cc
+++ b/src/net/answer_memory.cc
@@ -28,6 +28,10 @@
   total_ -= held;
   total_ += bytes;
   held = bytes;
+  reservation_.Resize(total_);
+  if (account_ && account_->IsExhausted() && bytes > kTiers.back().answer_bytes) {
+    return false;
+  }
   const auto tier = std::find_if(kTiers.begin(), kTiers.end(),
                                  [this](const Tier& each) { return total_ <= each.total_bytes; });
   return bytes <= tier->answer_bytes;
--- a/src/net/caller_listener.cc
+++ b/src/net/caller_listener.cc
@@ -1,6 +1,7 @@
 #include "net/caller_listener.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "clock/system_clock.h"
 #include "net/socket_options.h"
@@ -17,10 +18,12 @@
 }  // namespace
 
 CallerListener::CallerListener(asio::io_context& context, const NetworkAddress& address,
-                               CallerHandler& handler, std::size_t max_connections)
+                               CallerHandler& handler, std::size_t max_connections,
+                               std::shared_ptr<MemoryAccount> account)
     : acceptor_(context, {asio::ip::make_address(address.host), address.port}),
       handler_(handler),
       max_connections_(max_connections),
+      account_(std::move(account)),
       retry_timer_(context) {
   Accept();
 }
@@ -56,7 +59,7 @@
     EvictIdleConnection();
   }
   SetTcpOptions(socket);
-  auto connection = std::make_shared<CallerConnection>(std::move(socket), handler_);
+  auto connection = std::make_shared<CallerConnection>(std::move(socket), handler_, account_);
   connections_.push_back(connection);
   connection->Start(BootNow());
 }
--- a/src/net/caller_listener.h
+++ b/src/net/caller_listener.h
@@ -16,9 +16,11 @@
  public:
   // Binds to the address and starts accepting; throws boost::system::system_error if binding
   // fails. At max_connections, if that is not 0, the connection that has been idle longest is
-  // closed for a new one; one on which a request is open is never closed.
+  // closed for a new one; one on which a request is open is never closed. What callers make the
+  // connections hold counts in the account, if there is one.
   CallerListener(boost::asio::io_context& context, const NetworkAddress& address,
-                 CallerHandler& handler, std::size_t max_connections = 0);
+                 CallerHandler& handler, std::size_t max_connections = 0,
+                 std::shared_ptr<MemoryAccount> account = nullptr);
 
   // Closes connections that have been idle, or sending a request, for too long.
   void CheckTimeouts(Instant now);
@@ -47,6 +49,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   CallerHandler& handler_;
   const std::size_t max_connections_;
+  const std::shared_ptr<MemoryAccount> account_;
   boost::asio::steady_timer retry_timer_;
   std::uint64_t evicted_connections_ = 0;
   std::vector<std::shared_ptr<CallerConnection>> connections_;
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "net/http_connection.h"
@@ -12,7 +13,10 @@
 // address of an earlier one gets new connections.
 class ConnectionPool {
  public:
-  explicit ConnectionPool(boost::asio::io_context& context) : context_(context) {}
+  // The answers that are being received count in the account, if there is one.
+  explicit ConnectionPool(boost::asio::io_context& context,
+                          std::shared_ptr<MemoryAccount> account = nullptr)
+      : context_(context), answer_memory_(std::make_shared<AnswerMemory>(std::move(account))) {}
 
   // The event loop that runs the connections and their callbacks.
   boost::asio::io_context& context() { return context_; }
@@ -51,7 +55,7 @@
   static bool IsReusable(const HttpConnection& connection, Instant now);
 
   boost::asio::io_context& context_;
-  std::shared_ptr<AnswerMemory> answer_memory_ = std::make_shared<AnswerMemory>();
+  std::shared_ptr<AnswerMemory> answer_memory_;
   std::map<std::string, Peer> peers_;
   std::uint64_t opened_connections_ = 0;
 };
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
 #include <charconv>
@@ -81,8 +82,18 @@
 bool HttpConnection::IsAnswerTooLarge() {
   const std::uint64_t body_bytes = parser_->get().body().size();
   const std::uint64_t overhead = received_bytes_ - std::min(received_bytes_, body_bytes);
-  return overhead > kMaxOverheadBytes + kMaxOverheadPerBodyByte * body_bytes ||
-         !memory_->Change(held_bytes_, parser_->get().body().capacity() + buffer_.capacity());
+  const bool may_grow =
+      memory_->Change(held_bytes_, parser_->get().body().capacity() + buffer_.capacity());
+  RelieveAccountSoon();
+  return overhead > kMaxOverheadBytes + kMaxOverheadPerBodyByte * body_bytes || !may_grow;
+}
+
+void HttpConnection::RelieveAccountSoon() {
+  const std::shared_ptr<MemoryAccount>& account = memory_->account();
+  if (account && account->IsExceeded()) {
+    // It may cancel any call, also the one of this connection.
+    asio::post(socket_.get_executor(), [account] { account->Relieve(BootNow()); });
+  }
 }
 
 void HttpConnection::ResetParser() {
@@ -348,6 +359,8 @@
   ResetOnClose(socket_);
   Close();
   memory_->Change(held_bytes_, 0);
+  call_ = {};
+  parser_.reset();
 }
 
 void HttpConnection::FailCall(CallOutcome outcome, std::string reason) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -156,6 +156,8 @@
   bool IsStale() const;
   // Whether the answer, or what surrounds its body, is larger than accepted.
   bool IsAnswerTooLarge();
+  // Has memory taken back, if the limit of the account is exceeded.
+  void RelieveAccountSoon();
   void ResetParser();
   void FailCall(CallOutcome outcome, std::string reason);
   // Fails the call as the connection has ended; the peer may have ended it.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -8,6 +8,7 @@
 #include "core/descriptor_budget.h"
 #include "http/status.h"
 #include "net/http_format.h"
+#include "router/process_memory.h"
 
 namespace sycamorestall {
 
@@ -24,6 +25,10 @@
 constexpr std::chrono::milliseconds kLastAnswerMargin{700};
 constexpr std::chrono::milliseconds kStopMargin{300};
 
+// Callers that are refused for want of memory are told to come back after this time, when bodies
+// that are being read have been passed on.
+constexpr std::chrono::milliseconds kRetryAfterMemoryShort{500};
+
 // Answers a readiness or metrics request with plain text.
 void AnswerPlainText(CallerExchange& exchange, unsigned status, std::string text) {
   OutgoingMessage message;
@@ -48,6 +53,16 @@
     return daemon_.routes_ ? daemon_.routes_->config().limits : CallerLimits{};
   }
   bool ShouldCloseConnections() const override { return daemon_.stop_requested_at_.has_value(); }
+  OutgoingMessage MakeMemoryRefusal(const HttpRequest* request) const override {
+    const RequestFormat& format = daemon_.formats_.requests;
+    const std::string id = request == nullptr ? std::string{} : format.ParseRequest(*request).id;
+    OutgoingMessage message;
+    message.body =
+        std::make_shared<const std::string>(R"({"error":{"message":"memory is short"}})");
+    message.head = format.FormatLocalAnswerHead(http::kServiceUnavailable, id, message.body->size(),
+                                                kRetryAfterMemoryShort);
+    return message;
+  }
 
  private:
   RoutingDaemon& daemon_;
@@ -88,7 +103,9 @@
                              const StoreFactory& make_store)
     : settings_(std::move(settings)),
       formats_(formats),
-      pool_(context_),
+      memory_(std::make_shared<MemoryAccount>(
+          MaxHeldBytes(settings_.max_memory_bytes, MachineMemoryBytes()))),
+      pool_(context_, memory_),
       store_(make_store(pool_)),
       store_watcher_(*store_, *this, BootNow),
       registry_(
@@ -108,6 +125,7 @@
                  }),
       retry_budget_(settings_.retries),
       request_reporter_(request_log_, formats_.requests, metrics_),
+      memory_reporter_(*memory_, log_),
       relay_context_{settings_.domain,   fleet_,   domains_,          chooser_, retry_budget_,
                      crashing_requests_, pool_,    formats_.requests, *this,    *this,
                      request_log_,       metrics_, request_reporter_},
@@ -118,11 +136,13 @@
       metrics_handler_(std::make_unique<MetricsHandler>(*this)) {
   caller_listener_ =
       std::make_unique<CallerListener>(context_, settings_.callers, *request_handler_,
-                                       MaxCallerConnections(settings_.max_descriptors));
-  readiness_listener_ =
-      std::make_unique<CallerListener>(context_, settings_.readiness, *readiness_handler_);
+                                       MaxCallerConnections(settings_.max_descriptors), memory_);
+  readiness_listener_ = std::make_unique<CallerListener>(context_, settings_.readiness,
+                                                         *readiness_handler_, 0, memory_);
   metrics_listener_ =
-      std::make_unique<CallerListener>(context_, settings_.metrics, *metrics_handler_);
+      std::make_unique<CallerListener>(context_, settings_.metrics, *metrics_handler_, 0, memory_);
+  ReturnLargeBlocks();
+  memory_->OnFreed(ReturnFreedMemory);
 }
 
 RoutingDaemon::~RoutingDaemon() = default;
@@ -183,6 +203,7 @@
                     static_cast<double>(caller_listener_->open_connections()));
   metrics_.SetGauge("caller_connections_evicted_total",
                     static_cast<double>(caller_listener_->evicted_connections()));
+  memory_reporter_.UpdateGauges(metrics_);
   metrics_.SetGauge("requests_open", static_cast<double>(active_relays_.size()));
   metrics_.SetGauge("watches_for_domain", watches_for_domain_ ? 1 : 0);
   metrics_.SetGauge("store_revision", static_cast<double>(store_watcher_.revision().value));
@@ -242,6 +263,7 @@
     readiness_listener_->CheckTimeouts(now);
     metrics_listener_->CheckTimeouts(now);
     pool_.CheckTimeouts(now);
+    memory_reporter_.LogReleases(now);
   }
   if (stop_requested_at_) {
     ContinueStop(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -17,6 +17,7 @@
 #include "router/daemon_registry.h"
 #include "router/daemon_transport.h"
 #include "router/key_service.h"
+#include "router/memory_reporter.h"
 #include "router/request_relay.h"
 #include "store/store_update_log.h"
 #include "store/store_watcher.h"
@@ -159,6 +160,8 @@
   const RouterSettings settings_;
   const Formats formats_;
   boost::asio::io_context context_{1};
+  // Of what callers and endpoints make the daemon hold.
+  const std::shared_ptr<MemoryAccount> memory_;
   ConnectionPool pool_;
   std::unique_ptr<Store> store_;
   StoreWatcher store_watcher_;
@@ -185,6 +188,7 @@
   ComponentLog request_log_{"request"};
   ComponentLog log_{"daemon"};
   RequestReporter request_reporter_;
+  MemoryReporter memory_reporter_;
   RelayContext relay_context_;
   std::shared_ptr<RouteTable> routes_;
   std::map<ServiceName, std::unique_ptr<KeyService>> key_services_;
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -33,7 +33,9 @@
 // A listener with one connected caller socket on the same event loop.
 class ConnectionFixture {
  public:
-  ConnectionFixture() : listener_(context_, ReserveFreePort(), collector), socket_(context_) {
+  explicit ConnectionFixture(std::shared_ptr<MemoryAccount> account = nullptr)
+      : listener_(context_, ReserveFreePort(), collector, 0, std::move(account)),
+        socket_(context_) {
     socket_.connect({asio::ip::make_address("127.0.0.1"), port_});
   }
   void Send(const std::string& bytes) {
@@ -112,6 +114,15 @@
   asio::ip::tcp::socket socket_;
 };
 
+// Small header fields, seven bytes each.
+std::string Fields(std::size_t count) {
+  std::string fields;
+  for (std::size_t i = 0; i < count; ++i) {
+    fields += "a: b\r\n";
+  }
+  return fields;
+}
+
 std::size_t PositionOf(const std::string& text, const std::string& part) { return text.find(part); }
 
 }  // namespace
@@ -191,6 +202,7 @@
     std::string name;
     std::string bytes;
     std::string status;
+    std::string further_bytes = {};
   };
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
   const Row rows[] = {
@@ -206,6 +218,14 @@
        "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(100, 'x'), " 413 "},
       {"long body, complete with the head",
        "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'), " 413 "},
+      {"long head of small fields in two parts",
+       "GET / HTTP/1.1\r\n" + std::string(200, 'a') + ": b\r\n", " 431 ", Fields(200)},
+      {"long chunk extension", "POST / HTTP/1.1\r\n" + chunked + "\r\n1;" + std::string(2000, 'x'),
+       " 431 "},
+      {"long trailers", "POST / HTTP/1.1\r\n" + chunked + "\r\n0\r\n" + Fields(200) + "\r\n",
+       " 431 "},
+      {"trailers without end", "POST / HTTP/1.1\r\n" + chunked + "\r\n0\r\n" + Fields(150), " 431 ",
+       Fields(150)},
       {"long chunks", "POST / HTTP/1.1\r\n" + chunked + "\r\nfff0\r\n" + std::string(6000, 'x'),
        " 413 "}};
   for (const Row& row : rows) {
@@ -214,6 +234,9 @@
     fixture.collector.limits.max_header_bytes = 1000;
     fixture.collector.limits.max_body_bytes = 4096;
     fixture.Send(row.bytes);
+    if (!row.further_bytes.empty()) {
+      fixture.Send(row.further_bytes);
+    }
     CHECK(fixture.collector.exchanges.empty());
     CHECK(PositionOf(fixture.Received(), row.status) == 8);
   }
@@ -350,3 +373,76 @@
     CHECK(fixture.connection_ended == row.connection_ended);
   }
 }
+
+// Guards against memory that is held for callers without being counted, or counted when it is no
+// longer held.
+TEST_CASE("what a connection holds counts in the account as long as it is held") {
+  constexpr std::size_t kBodyBytes = 100'000;
+  const auto account = std::make_shared<MemoryAccount>(std::size_t{1} << 20);
+  ConnectionFixture fixture{account};
+  fixture.Send("POST /1 HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+  CHECK(account->held() < kBodyBytes / 10);
+  fixture.Send(std::string(kBodyBytes - 1, 'x'));
+  CHECK(account->held() > kBodyBytes - 1);
+  fixture.Send("x");
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  CHECK(account->held() > kBodyBytes);
+  fixture.Answer(0, "done");
+  fixture.collector.exchanges.clear();
+  CHECK(account->held() == 0);
+}
+
+TEST_CASE("a request that does not fit is refused before it is read, and nothing of it runs") {
+  const auto account = std::make_shared<MemoryAccount>(std::size_t{1} << 18);
+  struct Row {
+    std::string name;
+    std::string head;
+    std::size_t body_bytes;
+  };
+  const Row rows[] = {
+      {"announced", "POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n", 0},
+      {"in chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nf0000\r\n", 600'000}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ConnectionFixture fixture{account};
+    fixture.Send(row.head);
+    fixture.SendUntilBlocked(std::string(row.body_bytes, 'x'));
+    fixture.Run();
+    CHECK(fixture.collector.exchanges.empty());
+    const std::string received = fixture.Received();
+    CHECK(PositionOf(received, " 503 ") == 8);
+    CHECK(PositionOf(received, "Connection: close") != std::string::npos);
+    CHECK(account->held() == 0);
+  }
+}
+
+// Guards against a caller whose requests, unread answers included, are taken without end.
+TEST_CASE("no further requests are read while the open ones hold much") {
+  constexpr int kRequests = 40;
+  constexpr std::size_t kBodyBytes = 100'000;
+  const auto account = std::make_shared<MemoryAccount>(std::size_t{1} << 30);
+  ConnectionFixture fixture{account};
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += "POST /1 HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(kBodyBytes, 'x');
+  }
+  fixture.SendUntilBlocked(requests);
+  fixture.Run();
+  const std::size_t taken = fixture.collector.exchanges.size();
+  CHECK(taken < kRequests / 2);
+  for (std::size_t i = 0; i < taken; ++i) {
+    fixture.Answer(i, "done");
+  }
+  CHECK(fixture.collector.exchanges.size() > taken);
+}
+
+// Guards against a limit that stays as it was when the connection became idle.
+TEST_CASE("a request is read with the limits that apply when it begins") {
+  ConnectionFixture fixture;
+  fixture.collector.limits.max_body_bytes = 10;
+  fixture.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  fixture.Answer(0, "done");
+  fixture.collector.limits.max_body_bytes = 1000;
+  fixture.Send("POST /2 HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x'));
+  CHECK(fixture.collector.exchanges.size() == 2);
+}
