Free a request's body when it was sent and cannot be sent again

A body was held until its request ended, by the request and by the connection to the endpoint. The connection now lets go of it when all of it was passed to the system, and so does the request if no rule allows to send it again. The fingerprint that crashes are counted by is computed before.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -162,6 +162,10 @@
       socket_, buffers,
       [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
         self->writing_ = false;
+        if (!error && self->phase_ == Phase::kCalling) {
+          self->HandleSent();
+          return;
+        }
         // While a read is pending it reports the failure too, after any answer that the peer
         // sent before it closed the connection.
         if (error && self->phase_ == Phase::kCalling && !self->reading_) {
@@ -173,6 +177,13 @@
   }
 }
 
+void HttpConnection::HandleSent() {
+  call_.message = {};
+  if (call_.on_sent) {
+    std::exchange(call_.on_sent, nullptr)();
+  }
+}
+
 void HttpConnection::Read() {
   reading_ = true;
   socket_.async_read_some(
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -80,6 +80,8 @@
   std::optional<Duration> extension_on_data;
   // Received data does not move the deadline beyond this. Unset: no limit.
   std::optional<Instant> latest_deadline;
+  // Runs once the whole request was passed to the system, unless the call has ended before.
+  std::function<void()> on_sent;
   // A larger body fails the call, as soon as its size is known. Unset: the general limit.
   std::optional<std::uint64_t> max_body_bytes;
 };
@@ -136,6 +138,7 @@
   void Resolve();
   void ConnectTo(const boost::asio::ip::tcp::endpoint& endpoint);
   void Send();
+  void HandleSent();
   void Read();
   void HandleInput(const boost::beast::error_code& error, std::size_t size);
   void HandleParsing(bool end_of_stream);
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -100,7 +100,20 @@
 }
 
 RequestFingerprint RequestRelay::Fingerprint() const {
-  return FingerprintOf(*exchange_, attributes_.host, attributes_.key);
+  return fingerprint_ ? *fingerprint_
+                      : FingerprintOf(*exchange_, attributes_.host, attributes_.key);
+}
+
+void RequestRelay::HandleSent() {
+  if (finished_ || state_ != State::kAwaitingAnswer || exchange_->body()->empty()) {
+    return;
+  }
+  const bool may_send_again = arrival_count_ + 1 < route_->max_attempts ||
+                              (routed_by_key_ && send_count_ < kMaxSendsToOwner);
+  if (!may_send_again) {
+    fingerprint_ = Fingerprint();
+    exchange_->ReleaseBody();
+  }
 }
 
 Duration RequestRelay::BlockedFor(Instant now) const {
@@ -254,6 +267,11 @@
   call.matcher = &context_.format;
   call.head_request = exchange_->request().method() == boost::beast::http::verb::head;
   call.connect_timeout = ConnectTimeout(*route_);
+  call.on_sent = [self = weak_from_this()] {
+    if (const auto relay = self.lock()) {
+      relay->HandleSent();
+    }
+  };
   context_.fleet.BeginRequest(endpoint_);
   call_ = context_.pool.Call(endpoint_.value(), endpoint.entry.address, std::move(call), now,
                              [self = shared_from_this()](CallResult result) {
--- a/src/router/request_relay.h
+++ b/src/router/request_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -69,6 +70,8 @@
   void Dispatch(Instant now);
   void DispatchToOwner(Instant now);
   void Send(const EndpointState& endpoint, Instant now);
+  // Lets go of the body if the request, which was sent, cannot be sent again.
+  void HandleSent();
   void HandleCallResult(CallResult result, Instant now);
   void HandleAnswer(CallResult result, Instant now);
   void MarkDomainReachable(Instant now);
@@ -131,6 +134,8 @@
   // The endpoint's queueing factor at that time.
   double queueing_factor_when_sent_ = 1;
   ConnectionPool::CallHandle call_;
+  // Computed before the body was let go of.
+  std::optional<RequestFingerprint> fingerprint_;
   std::set<InstanceId> excluded_endpoints_;
   // How often the request was sent, and when it is next resent to the owner.
   int send_count_ = 0;
