--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
 #include <charconv>
@@ -83,8 +84,18 @@
 bool HttpConnection::IsAnswerTooLarge() {
   const std::uint64_t body_bytes = parser_->get().body().size();
   const std::uint64_t overhead = received_bytes_ - std::min(received_bytes_, body_bytes);
-  return overhead > kMaxOverheadBytes + kMaxOverheadPerBodyByte * body_bytes ||
-         !memory_->Change(held_bytes_, parser_->get().body().capacity() + buffer_.capacity());
+  const bool may_grow =
+      memory_->Change(held_bytes_, parser_->get().body().capacity() + buffer_.capacity());
+  RelieveAccountSoon();
+  return overhead > kMaxOverheadBytes + kMaxOverheadPerBodyByte * body_bytes || !may_grow;
+}
+
+void HttpConnection::RelieveAccountSoon() {
+  const std::shared_ptr<MemoryAccount>& account = memory_->account();
+  if (account && account->IsExceeded()) {
+    // It may cancel any call, also the one of this connection.
+    asio::post(socket_.get_executor(), [account] { account->Relieve(BootNow()); });
+  }
 }
 
 void HttpConnection::ResetParser() {
@@ -154,6 +165,10 @@
       socket_, buffers,
       [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
         self->writing_ = false;
+        if (!error && self->phase_ == Phase::kCalling) {
+          self->HandleSent();
+          return;
+        }
         // While a read is pending it reports the failure too, after any answer that the peer
         // sent before it closed the connection.
         if (error && self->phase_ == Phase::kCalling && !self->reading_) {
@@ -165,6 +180,13 @@
   }
 }
 
+void HttpConnection::HandleSent() {
+  call_.message = {};
+  if (call_.on_sent) {
+    std::exchange(call_.on_sent, nullptr)();
+  }
+}
+
 void HttpConnection::Read() {
   reading_ = true;
   socket_.async_read_some(
@@ -363,6 +385,8 @@
   ResetOnClose(socket_);
   Close();
   memory_->Change(held_bytes_, 0);
+  call_ = {};
+  parser_.reset();
 }
 
 void HttpConnection::FailCall(CallOutcome outcome, std::string reason) {
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -108,7 +108,20 @@
 }
 
 RequestFingerprint RequestRelay::Fingerprint() const {
-  return FingerprintOf(*exchange_, attributes_.host, attributes_.key);
+  return fingerprint_ ? *fingerprint_
+                      : FingerprintOf(*exchange_, attributes_.host, attributes_.key);
+}
+
+void RequestRelay::HandleSent() {
+  if (finished_ || state_ != State::kAwaitingAnswer || exchange_->body()->empty()) {
+    return;
+  }
+  const bool may_send_again = arrival_count_ + 1 < route_->max_attempts ||
+                              (routed_by_key_ && send_count_ < kMaxSendsToOwner);
+  if (!may_send_again) {
+    fingerprint_ = Fingerprint();
+    exchange_->ReleaseBody();
+  }
 }
 
 Duration RequestRelay::BlockedFor(Instant now) const {
@@ -345,6 +358,11 @@
     call.connect_timeout =
         std::min(call.connect_timeout, endpoint.evacuation->owned_keys_until - now);
   }
+  call.on_sent = [self = weak_from_this()] {
+    if (const auto relay = self.lock()) {
+      relay->HandleSent();
+    }
+  };
   context_.fleet.BeginRequest(endpoint_);
   if (now < endpoint.LimitedUntil()) {
     context_.metrics.IncrementCounter("cold_endpoint_requests_total");
@@ -583,6 +601,13 @@
 }
 
 void RequestRelay::ForwardAnswer(HttpAnswer answer, Instant now) {
+  // The caller would send the request again, though the endpoint may have run it.
+  if (!IsSafe() && http::DeniesExecution(answer.result_int())) {
+    AnswerLocally(http::kBadGateway,
+                  "unproven refusal: status " + std::to_string(answer.result_int()), std::nullopt,
+                  now);
+    return;
+  }
   finished_ = true;
   context_.reporter.ReportOutcome(Summary(), answer.result_int(), "answered", now);
   OutgoingMessage message;
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -18,6 +18,7 @@
 #include "router/daemon_transport.h"
 #include "router/evacuation_registry.h"
 #include "router/key_service.h"
+#include "router/memory_reporter.h"
 #include "router/request_relay.h"
 #include "store/store_update_log.h"
 #include "store/store_watcher.h"
@@ -167,6 +168,8 @@
   const RouterSettings settings_;
   const Formats formats_;
   boost::asio::io_context context_{1};
+  // Of what callers and endpoints make the daemon hold.
+  const std::shared_ptr<MemoryAccount> memory_;
   ConnectionPool pool_;
   std::unique_ptr<Store> store_;
   StoreWatcher store_watcher_;
@@ -189,7 +192,6 @@
   // The keys of entries that name no endpoint to use.
   std::set<std::string> malformed_endpoints_;
   DomainReachability domains_;
-  LeastLatencyChooser chooser_;
   ColdStartLimiter cold_limiter_;
   CrossDomainPolicy cross_domain_{settings_.domain};
   CrossDomainChooser chooser_{cross_domain_};
@@ -199,6 +201,7 @@
   ComponentLog log_{"daemon"};
   EvacuationRegistry evacuations_;
   RequestReporter request_reporter_;
+  MemoryReporter memory_reporter_;
   RelayContext relay_context_;
   std::shared_ptr<RouteTable> routes_;
   std::map<ServiceName, std::unique_ptr<KeyService>> key_services_;
