Give requests sent just before an evacuation was learned late time to be delivered

Cause: a daemon that learns of an evacuation after its limit breaks off requests that it sent some milliseconds before and whose receipt is not acknowledged yet.

Change: the time for delivery counts from the later of the limit and of learning. A test also checks that keys are served by their owners until the limit.

--- a/src/core/domain_evacuations.h
+++ b/src/core/domain_evacuations.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -17,6 +18,9 @@
   // Until when requests for keys may be sent to their owners.
   Instant owned_keys_until;
 
+  // From when on this daemon sends no request to the domain.
+  Instant requests_end_at() const { return std::max(learned_at, owned_keys_until); }
+
   friend bool operator==(const Evacuation&, const Evacuation&) = default;
 };
 
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -34,8 +34,8 @@
 
 // Daemons learn within this time that an evacuation was withdrawn.
 constexpr std::chrono::milliseconds kRetryAfterEvacuated{1500};
-// Bytes of a request that are not acknowledged this long after the endpoint stopped accepting
-// requests are not sent again. Acknowledgements may be delayed by 40 ms and a busy link.
+// Bytes of a request that are not acknowledged this long after requests to the endpoint ended are
+// not sent again. Acknowledgements may be delayed by 40 ms and a busy link.
 constexpr std::chrono::milliseconds kMaxDeliveryTime{200};
 
 // The reason of failures caused by a stop.
@@ -263,7 +263,7 @@
   const EndpointState* endpoint =
       context_.fleet.evacuations().all().empty() ? nullptr : context_.fleet.Find(endpoint_);
   if (endpoint != nullptr && endpoint->evacuation &&
-      !endpoint->AcceptsOwnedKeys(now - kMaxDeliveryTime)) {
+      now >= endpoint->evacuation->requests_end_at() + kMaxDeliveryTime) {
     ConnectionPool::FailIfUndelivered(call_);
   }
 }
--- a/tests/router/evacuation_test.cc
+++ b/tests/router/evacuation_test.cc
@@ -79,7 +79,11 @@
   REQUIRE(deployment.WaitUntilServed());
   deployment.store.Put(kEvacuateNorth, "{}");
   deployment.store.Put(kEvacuateSouth, "{}");
-  std::this_thread::sleep_for(kEvacuationTime);
+  std::this_thread::sleep_for(kLearningTime);
+  // No endpoint may take the keys, whose requests still go to their owners.
+  CHECK(deployment.SendRequest(0, {.key = 30'000}).status == 200);
+  CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 503);
+  std::this_thread::sleep_for(kEvacuationTime - kLearningTime);
   const int arrivals = Arrivals(deployment);
   for (const std::size_t daemon : {0, 1}) {
     const auto begin = std::chrono::steady_clock::now();
