--- a/src/core/cold_start_limiter.cc
+++ b/src/core/cold_start_limiter.cc
@@ -58,7 +58,6 @@
   ColdAllowance allowance = AllowanceFor(endpoint.cold_terms.rate, limit_);
   // Requests that are sent in a longer period arrive in the period.
   allowance.period += kMaxDeliveryDelay;
-  allowance.requests = OwnShare(endpoint.entry, allowance.requests);
   return allowance;
 }
 
@@ -120,16 +119,17 @@
   if (!enabled() || until_warm == Duration{}) {
     return {};
   }
-  const ColdAllowance own = Allowance(endpoint);
-  if (!begun_at_ || own.requests == 0) {
+  const ColdAllowance allowance = Allowance(endpoint);
+  const std::size_t share = OwnShare(endpoint.entry, allowance.requests);
+  if (!begun_at_ || share == 0) {
     return until_warm;
   }
   Duration wait = std::max<Duration>(*begun_at_ + kStartDelay - now, Duration{});
   const auto sent = sent_.find(endpoint.entry.id);
-  if (sent != sent_.end() && sent->second.size() >= own.requests) {
+  if (sent != sent_.end() && sent->second.size() >= share) {
     // The earliest of the last sends that fill the share.
-    const Instant blocking = *std::prev(sent->second.end(), static_cast<int>(own.requests));
-    wait = std::max(wait, blocking + own.period - now);
+    const Instant blocking = *std::prev(sent->second.end(), static_cast<std::ptrdiff_t>(share));
+    wait = std::max(wait, blocking + allowance.period - now);
   }
   return std::min(wait, until_warm);
 }
--- a/src/core/cold_start_limiter.h
+++ b/src/core/cold_start_limiter.h
@@ -65,6 +65,7 @@
   std::size_t OwnShare(const EndpointEntry& endpoint, std::size_t requests) const;
   // How many of the daemons precede this one in the order for the endpoint.
   std::size_t RankFor(const EndpointEntry& endpoint) const;
+  // The allowance of all daemons for an endpoint, in a period with room for late delivery.
   ColdAllowance Allowance(const EndpointState& endpoint) const;
 
   const InstanceId self_;
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -245,7 +245,10 @@
     context_.fleet.HandleRefusedConnection(endpoint_, now);
   } else if (!NothingWasSent(result.outcome) &&
              context_.fleet.HandleAcceptedConnection(endpoint_, sent_at_, now)) {
-    context_.log.Info("endpoint cold id=" + endpoint_.value() + " reason=\"accepts again\"");
+    const EndpointState* endpoint = context_.fleet.Find(endpoint_);
+    context_.log.Info("endpoint cold id=" + endpoint_.value() +
+                      " ms=" + FormatMilliseconds(endpoint->ColdUntil() - now) +
+                      " reason=\"accepts again\"");
   }
 }
 
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -29,6 +29,7 @@
       {"draining",
        common_fields + R"("max_concurrency":6,"state":"draining","warmup_left_s":1.5,"seq":4})",
        true, true},
+      {"warm-up missing", common_fields + R"("max_concurrency":6,"state":"ready"})", true, false},
       {"unknown state", common_fields + R"("max_concurrency":6,"state":"odd","warmup_left_s":0})",
        false, false},
       {"max_concurrency missing", common_fields + R"("state":"ready","warmup_left_s":0})", false,
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -109,14 +109,15 @@
 }
 
 std::string EndpointEntryJson(const std::string& service, const NetworkAddress& address, int slots,
-                              const std::string& state, std::uint64_t start) {
+                              const std::string& state, std::uint64_t start,
+                              double warm_up_left_s = 0) {
   return json{{"service", service},
               {"address", ToString(address)},
               {"zone", "north"},
               {"version", "v1"},
               {"max_concurrency", slots},
               {"state", state},
-              {"warmup_left_s", 0},
+              {"warmup_left_s", warm_up_left_s},
               {"seq", 1},
               {"born", start}}
       .dump();
@@ -157,6 +158,7 @@
         << "readiness = " << TomlLoopbackAddress(daemon.readiness_port)
         << "metrics = " << TomlLoopbackAddress(daemon.metrics_port)
         << "peer = " << TomlLoopbackAddress(daemon.peer_port)
+        << "[endpoints]\ncold_rate_factor = 1.5\ncold_rate_slack = 8\n"
         << "[store]\naddress = " << TomlLoopbackAddress(AddressThroughProxy(store.address()).port);
     daemons_.push_back(daemon);
     StartDaemon(daemons_.size() - 1);
@@ -263,25 +265,30 @@
     }
     routes.push_back(route(prefix + "/", "safe", "soil"));
   }
-  const json body{
-      {"version", version},
-      {"services", {{{"name", "soil"}, {"sharded", true}, {"warm_s", 2.0}}, {{"name", "pumps"}}}},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", 1 << 20},
-        {"header_timeout_s", 3},
-        {"idle_timeout_s", 15}}},
-      {"hosts", {{{"host", "h.example"}, {"paths", routes}}}}};
+  json services{{{"name", "soil"}, {"sharded", true}, {"warm_s", 2.0}}, {{"name", "pumps"}}};
+  for (json& service : services) {
+    service["warmup_s"] = 3;
+    service["warmup_per_s"] = cold_rate;
+  }
+  const json body{{"version", version},
+                  {"services", services},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 1 << 20},
+                    {"header_timeout_s", 3},
+                    {"idle_timeout_s", 15}}},
+                  {"hosts", {{{"host", "h.example"}, {"paths", routes}}}}};
   store.Put("op/config", body.dump());
 }
 
 void RouterDeployment::RegisterEndpoint(const fakes::KeyEndpoint& endpoint,
-                                        const std::string& state, std::uint64_t start) {
+                                        const std::string& state, std::uint64_t start,
+                                        double warm_up_left_s) {
   const bool owns_keys = endpoint.id().starts_with("soil");
   const bool proxied = proxy_addresses_.contains(endpoint.id());
   const NetworkAddress address = proxied ? proxy_addresses_.at(endpoint.id()) : endpoint.address();
-  store.Put("servers/" + endpoint.id(),
-            EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start));
+  store.Put("servers/" + endpoint.id(), EndpointEntryJson(owns_keys ? "soil" : "pumps", address,
+                                                          kSlots, state, start, warm_up_left_s));
 }
 
 void RouterDeployment::RegisterPumpAt(const std::string& id, const NetworkAddress& address) {
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -53,7 +53,7 @@
                    int route_timeout_s = 1);
   // Writes an endpoint's entry to the store once; it is not renewed.
   void RegisterEndpoint(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
-                        std::uint64_t start = 1);
+                        std::uint64_t start = 1, double warm_up_left_s = 0);
   // Writes the entry of an endpoint, of the service pumps or soil, that the test runs itself.
   void RegisterPumpAt(const std::string& id, const NetworkAddress& address);
   void RegisterSoilAt(const std::string& id, const NetworkAddress& address);
@@ -89,6 +89,9 @@
   fakes::FaultProxy& StoreProxy(std::size_t daemon);
   std::string FetchMetrics(std::size_t daemon);
 
+  // The requests per second that endpoints bear for 3 s after a start, by the configurations
+  // written from now on; 0 for any rate.
+  double cold_rate = 0;
   fakes::KeyValueStore store;
   std::vector<std::unique_ptr<fakes::KeyEndpoint>> soil;
   std::vector<std::unique_ptr<fakes::KeyEndpoint>> pumps;
