--- a/tests/core/cold_start_limiter_test.cc
+++ b/tests/core/cold_start_limiter_test.cc
@@ -48,12 +48,20 @@
  public:
   using View = std::map<InstanceId, DomainName>;
 
-  ColdSimulation(std::size_t daemons, std::size_t endpoints) {
+  ColdSimulation(std::size_t daemons, std::size_t endpoints, std::size_t warm_endpoints = 0) {
     fleet_.SetColdTerms(kService, {seconds{60}, kColdRate});
     for (std::size_t i = 0; i < endpoints; ++i) {
       fleet_.Put(Entry("e" + std::to_string(i), 1, seconds{60}), At(0));
       arrivals_[InstanceId{"e" + std::to_string(i)}] = {};
     }
+    for (std::size_t i = 0; i < warm_endpoints; ++i) {
+      fleet_.Put(Entry("w" + std::to_string(i), 1), At(0));
+    }
+    // All are as fast, so that nothing but the limit keeps requests from the cold ones.
+    const auto endpoints_of_service = fleet_.EndpointsOfService(kService);
+    for (const auto& [id, endpoint] : endpoints_of_service) {
+      fleet_.EndRequest(id, AttemptResult::kServed, milliseconds{410}, 1, At(0));
+    }
     for (std::size_t i = 0; i < daemons; ++i) {
       all_[Id(i)] = Domain(i % kDomains);
       limiters_.push_back(std::make_unique<ColdStartLimiter>(Id(i), kLimit));
@@ -77,21 +85,35 @@
     limiters_[daemon] = std::make_unique<ColdStartLimiter>(Id(daemon), kLimit);
   }
 
-  // Each daemon tries every endpoint in each 20 ms. A request takes up to 0.4 s to arrive.
+  // Each daemon tries every cold endpoint in each 20 ms. A request takes up to 0.4 s to arrive.
   void Run(double from_s, double to_s) {
-    std::uniform_real_distribution<double> delay{0, 0.4};
     for (double now_s = from_s; now_s < to_s; now_s += 0.02) {
-      for (auto& [id, arrivals] : arrivals_) {
-        const EndpointState& endpoint = *fleet_.Find(id);
+      for (const auto& [id, arrivals] : arrivals_) {
         for (const auto& limiter : limiters_) {
-          if (limiter->MaySend(endpoint, At(now_s))) {
-            limiter->RecordSend(endpoint, At(now_s));
-            arrivals.push_back(now_s + delay(random_));
+          if (limiter->MaySend(*fleet_.Find(id), At(now_s))) {
+            Send(*limiter, id, now_s);
           }
         }
       }
     }
   }
+  // Each daemon chooses an endpoint for one request in each 20 ms. Returns how many found none.
+  std::size_t RunChoices(double from_s, double to_s) {
+    std::size_t refused = 0;
+    const DomainReachability domains;
+    for (double now_s = from_s; now_s < to_s; now_s += 0.02) {
+      for (const auto& limiter : limiters_) {
+        EndpointChoiceRequest request{kService, Domain(0), {}, 1.2, domains, At(now_s)};
+        request.cold_limiter = limiter.get();
+        const auto choice = LeastLatencyChooser{}.Choose(fleet_, request);
+        refused += choice ? 0 : 1;
+        if (choice) {
+          Send(*limiter, choice->endpoint, now_s);
+        }
+      }
+    }
+    return refused;
+  }
 
   // The most requests that reached an endpoint within one second.
   std::size_t MaxInOneSecond() {
@@ -115,6 +137,14 @@
   }
 
  private:
+  void Send(ColdStartLimiter& limiter, const InstanceId& id, double now_s) {
+    limiter.RecordSend(*fleet_.Find(id), At(now_s));
+    const auto arrivals = arrivals_.find(id);
+    if (arrivals != arrivals_.end()) {
+      arrivals->second.push_back(now_s + std::uniform_real_distribution<double>{0, 0.4}(random_));
+    }
+  }
+
   std::mt19937_64 random_{1};
   EndpointFleet fleet_;
   View all_;
@@ -139,6 +169,18 @@
   }
 }
 
+// Guards against requests that are refused, or sent to cold endpoints, while warm ones take them.
+TEST_CASE("requests without keys are served elsewhere when a whole domain returns") {
+  for (const std::size_t daemons : kDaemonCounts) {
+    CAPTURE(daemons);
+    ColdSimulation simulation{daemons, 40, 80};
+    simulation.SetFullViews(0);
+    CHECK(simulation.RunChoices(0, 5) == 0);
+    CHECK(simulation.MaxInOneSecond() <= kColdRate);
+    CHECK(simulation.MeanRate(5) > 0);
+  }
+}
+
 // Guards against a second share used by a daemon that does not know what it sent before its
 // restart, and against shares of those that started before they knew one another.
 TEST_CASE("the limit holds when half of the daemons restart") {
