--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -110,14 +110,14 @@
 
 std::string EndpointEntryJson(const std::string& service, const NetworkAddress& address, int slots,
                               const std::string& state, std::uint64_t start,
-                              const std::string& domain = "north") {
+                              const std::string& domain = "north", double warm_up_left_s = 0) {
   return json{{"service", service},
               {"address", ToString(address)},
               {"zone", domain},
               {"version", "v1"},
               {"max_concurrency", slots},
               {"state", state},
-              {"warmup_left_s", 0},
+              {"warmup_left_s", warm_up_left_s},
               {"seq", 1},
               {"born", start}}
       .dump();
@@ -160,7 +160,7 @@
         << "metrics = " << TomlLoopbackAddress(daemon.metrics_port)
         << "peer = " << TomlLoopbackAddress(daemon.peer_port) << daemon_settings
         << "[store]\naddress = " << TomlLoopbackAddress(AddressThroughProxy(store.address()).port)
-        << "[endpoints]\nevacuation_s = 5\n";
+        << "[endpoints]\nevacuation_s = 5\ncold_rate_factor = 1.5\ncold_rate_slack = 8\n";
     daemons_.push_back(daemon);
     StartDaemon(daemons_.size() - 1);
   }
@@ -266,26 +266,31 @@
     }
     routes.push_back(route(prefix + "/", "safe", "soil"));
   }
-  const json body{
-      {"version", version},
-      {"services", {{{"name", "soil"}, {"sharded", true}, {"warm_s", 2.0}}, {{"name", "pumps"}}}},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", max_body_bytes_},
-        {"header_timeout_s", 3},
-        {"idle_timeout_s", 15}}},
-      {"hosts", {{{"host", "h.example"}, {"paths", routes}}}}};
+  json services{{{"name", "soil"}, {"sharded", true}, {"warm_s", 2.0}}, {{"name", "pumps"}}};
+  for (json& service : services) {
+    service["warmup_s"] = 3;
+    service["warmup_per_s"] = cold_rate;
+  }
+  const json body{{"version", version},
+                  {"services", services},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", max_body_bytes_},
+                    {"header_timeout_s", 3},
+                    {"idle_timeout_s", 15}}},
+                  {"hosts", {{{"host", "h.example"}, {"paths", routes}}}}};
   store.Put("op/config", body.dump());
 }
 
 void RouterDeployment::RegisterEndpoint(const fakes::KeyEndpoint& endpoint,
                                         const std::string& state, std::uint64_t start,
-                                        const std::string& domain) {
+                                        const std::string& domain, double warm_up_left_s) {
   const bool owns_keys = endpoint.id().starts_with("soil");
   const bool proxied = proxy_addresses_.contains(endpoint.id());
   const NetworkAddress address = proxied ? proxy_addresses_.at(endpoint.id()) : endpoint.address();
   store.Put("servers/" + endpoint.id(),
-            EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start, domain));
+            EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start, domain,
+                              warm_up_left_s));
 }
 
 void RouterDeployment::RegisterPumpAt(const std::string& id, const NetworkAddress& address) {
