Send messages between daemons in a compact encoding

Each message had an 8-byte length for every text and vector, also for the 12 that are usually empty, and gossip named each endpoint by its id as text. Traffic between failure domains is billed.

CompactOutputArchive and CompactInputArchive are archives of cereal: numbers and lengths of variable length, hexadecimal digits of names packed, and only the parts that are present, behind a bit mask. Gossip names endpoints by 16-bit hashes (EndpointHashes) in ascending order, ambiguous ones by id; unresolved hashes wait until the endpoint is listed. Lengths are still compared with the bytes left, and bytes behind a message are rejected. Datagrams of another version are dropped, so daemons of both versions do not hear each other; the first byte tells the encodings apart.

The test of announced lengths in tests/platform/odd_entry_test.cc writes its lengths in the new encoding, at their new place; its rows and its check are the same.

--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -25,6 +25,14 @@
   }
 };
 
+// The same, with the hash of the endpoint's id that EndpointHashes gives.
+struct HashedLoad {
+  std::uint16_t endpoint_hash = 0;
+  std::uint16_t in_flight = 0;
+
+  friend bool operator==(const HashedLoad&, const HashedLoad&) = default;
+};
+
 // An endpoint said in an answer that it is being removed from service.
 struct DrainReport {
   InstanceId endpoint;
@@ -100,7 +108,10 @@
   bool stopping = false;
   // Whether the sender has been unable to reach the store for some time.
   bool store_unreachable = false;
+  // Requests in flight at endpoints whose hashes are ambiguous, and at all others in ascending
+  // order of the hashes.
   std::vector<EndpointLoad> loads;
+  std::vector<HashedLoad> hashed_loads;
   std::vector<ServiceDemand> demands;
   std::vector<AnnouncementPart> announcements;
   std::vector<NotOwnerReport> not_owner_reports;
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -16,6 +16,7 @@
 #include "router/crash_registry.h"
 #include "router/daemon_registry.h"
 #include "router/daemon_transport.h"
+#include "router/endpoint_hashes.h"
 #include "router/key_service.h"
 #include "router/request_relay.h"
 #include "store/store_update_log.h"
@@ -53,6 +54,8 @@
     bool stopping = false;
     bool store_unreachable = false;
     std::vector<EndpointLoad> loads;
+    // Loads of endpoints that this daemon has not seen listed yet.
+    std::vector<HashedLoad> unknown_loads;
     // The revision up to which it knows the store.
     Revision store_revision;
     bool knows_recent_changes = false;
@@ -129,6 +132,11 @@
   void SendGossip(Instant now);
   // The reports of endpoints that the other daemons cannot know from the list to be draining.
   std::vector<DrainReport> DrainReports() const;
+  // This daemon's requests in flight, in the form of gossip.
+  void AddLoads(DaemonMessage& message);
+  // Appends the loads whose endpoints are listed. Returns the others.
+  std::vector<HashedLoad> ResolveLoads(const std::vector<HashedLoad>& hashed,
+                                       std::vector<EndpointLoad>& loads) const;
   // Counts the requests that a peer has in flight, in place of those that it reported before.
   void ReplacePeerLoads(const std::vector<EndpointLoad>& earlier,
                         const std::vector<EndpointLoad>& latest);
@@ -175,6 +183,7 @@
   CrashRegistry crash_registry_;
   DaemonTransport transport_;
   EndpointFleet fleet_;
+  EndpointHashes endpoint_hashes_;
   EndpointHistory endpoint_history_;
   // Endpoints whose entries the store lost, and when they count as gone.
   std::map<InstanceId, Instant> missing_endpoints_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -119,17 +119,45 @@
   message.store_revision = store_watcher_.revision();
   message.knows_recent_changes = KnowsRecentChanges(now);
   message.weight = settings_.weight;
-  for (const auto& [id, state] : fleet_.all()) {
-    if (state.in_flight > 0) {
-      message.loads.push_back({id, static_cast<std::uint16_t>(state.in_flight)});
-    }
-  }
+  endpoint_hashes_.Update(fleet_);
+  AddLoads(message);
   message.drain_reports = DrainReports();
   message.crash_reports = crashing_requests_.TakeReports(now);
   transport_.SendToAll(message);
   UpdatePeerLoads(now);
 }
 
+void RoutingDaemon::AddLoads(DaemonMessage& message) {
+  for (const auto& [id, state] : fleet_.all()) {
+    if (state.in_flight == 0) {
+      continue;
+    }
+    const auto in_flight = static_cast<std::uint16_t>(state.in_flight);
+    if (const auto hash = endpoint_hashes_.HashOf(id)) {
+      message.hashed_loads.push_back({*hash, in_flight});
+    } else {
+      message.loads.push_back({id, in_flight});
+    }
+  }
+  std::sort(message.hashed_loads.begin(), message.hashed_loads.end(),
+            [](const HashedLoad& left, const HashedLoad& right) {
+              return left.endpoint_hash < right.endpoint_hash;
+            });
+}
+
+std::vector<HashedLoad> RoutingDaemon::ResolveLoads(const std::vector<HashedLoad>& hashed,
+                                                    std::vector<EndpointLoad>& loads) const {
+  std::vector<HashedLoad> unknown;
+  for (const HashedLoad& each : hashed) {
+    if (const InstanceId* endpoint = endpoint_hashes_.Find(each.endpoint_hash)) {
+      loads.push_back({*endpoint, each.in_flight});
+    } else {
+      unknown.push_back(each);
+    }
+  }
+  return unknown;
+}
+
 std::vector<DrainReport> RoutingDaemon::DrainReports() const {
   std::vector<DrainReport> reports;
   for (const auto& [id, state] : fleet_.all()) {
@@ -281,10 +309,11 @@
 
 void RoutingDaemon::UpdatePeerLoads(Instant now) {
   std::map<InstanceId, std::size_t> in_flight_by_endpoint;
-  for (const auto& [peer, state] : peer_states_) {
+  for (auto& [peer, state] : peer_states_) {
     if (!IsHeard(state, now)) {
       continue;
     }
+    state.unknown_loads = ResolveLoads(state.unknown_loads, state.loads);
     for (const EndpointLoad& each : state.loads) {
       in_flight_by_endpoint[each.endpoint] += each.in_flight;
     }
@@ -327,13 +356,15 @@
       store_watcher_.RecordPeerProgress(now);
     }
     const bool was_counted = known != peer_states_.end() && IsHeard(known->second, now);
-    ReplacePeerLoads(was_counted ? known->second.loads : std::vector<EndpointLoad>{},
-                     message.loads);
+    std::vector<EndpointLoad> loads = message.loads;
+    std::vector<HashedLoad> unknown_loads = ResolveLoads(message.hashed_loads, loads);
+    ReplacePeerLoads(was_counted ? known->second.loads : std::vector<EndpointLoad>{}, loads);
     peer_states_[message.sender] = {now,
                                     message.domain,
                                     message.stopping,
                                     message.store_unreachable,
-                                    message.loads,
+                                    std::move(loads),
+                                    std::move(unknown_loads),
                                     message.store_revision,
                                     message.knows_recent_changes,
                                     message.weight};
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -127,6 +127,7 @@
     message.sender = InstanceId{"d1"};
     for (std::size_t i = 0; i < row.loads; ++i) {
       message.loads.push_back({InstanceId{"e" + std::to_string(i)}, 3});
+      message.hashed_loads.push_back({static_cast<std::uint16_t>(200 * i), 9});
     }
     message.demands = {{ServiceName{"soil"}, {{17, 2}, {18, 1}}}};
     message.drain_reports = {{InstanceId{"e1"}, {1700}}};
@@ -137,6 +138,7 @@
     CHECK(decoded->demands.front().counts == message.demands.front().counts);
     CHECK(decoded->announcements.front().ranges == message.announcements.front().ranges);
     CHECK(decoded->loads.size() == row.loads);
+    CHECK(decoded->hashed_loads == message.hashed_loads);
     REQUIRE(decoded->drain_reports.size() == 1);
     CHECK(decoded->drain_reports.front().endpoint == InstanceId{"e1"});
     CHECK(decoded->drain_reports.front().incarnation == Incarnation{1700});
--- a/tests/platform/odd_entry_test.cc
+++ b/tests/platform/odd_entry_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "platform/directory_format.h"
+#include "router/compact_archive.h"
 #include "router/daemon_message.h"
 #include "router/record_codec.h"
 
@@ -161,14 +162,16 @@
   message.sender = InstanceId{"d1"};
   const std::string usual = EncodeMessage(message);
   REQUIRE(DecodeMessage(usual).has_value());
-  // The datagram's own two fields come first: a size of four bytes and a length of eight.
-  constexpr std::size_t kLengthOffset = 12;
+  // The version, the size before compression and the parts come first, a byte each. The length is
+  // above two bits that tell how the text is written.
+  constexpr std::size_t kLengthOffset = 3;
+  constexpr unsigned kFlagBits = 2;
   for (const Row& row : rows) {
     CAPTURE(row.name);
+    CompactOutputArchive length;
+    length.WriteNumber(row.length << kFlagBits);
     std::string bytes = usual;
-    for (std::size_t i = 0; i < sizeof row.length; ++i) {
-      bytes[kLengthOffset + i] = static_cast<char>(row.length >> (8 * i));
-    }
+    bytes.replace(kLengthOffset, 1, length.bytes());
     CHECK_FALSE(DecodeMessage(bytes).has_value());
   }
 }
