Count bytes that wait to be read from callers

Bytes that have arrived and were not read count toward the memory of the machine, and a connection that is not read while its open requests hold much may have megabytes of them. They are counted with each check of the timeouts, every 100 ms, and the account is relieved then.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -119,6 +119,7 @@
       handler_(handler),
       account_(std::move(account)),
       reading_memory_(account_),
+      unread_memory_(account_),
       note_chunk_header_(
           [this](std::uint64_t /*size*/, beast::string_view extension,
                  beast::error_code& /*error*/) { extension_bytes_ += extension.size(); }) {
@@ -232,6 +233,7 @@
 }
 
 void CallerConnection::HandleInput(std::size_t size) {
+  unread_memory_.Resize(unread_memory_.bytes() - std::min(unread_memory_.bytes(), size));
   if (phase_ == Phase::kLingering || input_done_) {
     Read();
     return;
@@ -269,11 +271,13 @@
 
 HeldMemory CallerConnection::Held() const {
   const std::size_t exchange_bytes = ExchangeBytes();
-  if (reading_memory_.bytes() >= exchange_bytes) {
-    return {reading_memory_.bytes(), read_progress_.progressed_at(), HeldFor::kIncompleteRequest};
+  const std::size_t input_bytes = reading_memory_.bytes() + unread_memory_.bytes();
+  if (input_bytes >= exchange_bytes && phase_ == Phase::kOpen && !input_done_) {
+    return {input_bytes, read_progress_.progressed_at(), HeldFor::kIncompleteRequest};
   }
-  return {exchange_bytes + reading_memory_.bytes(), write_progress_.progressed_at(),
-          writing_ ? HeldFor::kUnreadAnswer : HeldFor::kRunningRequest};
+  const bool runs = !exchanges_.empty() && !writing_;
+  return {exchange_bytes + input_bytes, write_progress_.progressed_at(),
+          runs ? HeldFor::kRunningRequest : HeldFor::kUnreadAnswer};
 }
 
 void CallerConnection::ReleaseMemory() {
@@ -285,6 +289,12 @@
   }
 }
 
+void CallerConnection::AccountForUnreadInput() {
+  beast::error_code error;
+  const std::size_t bytes = socket_.available(error);
+  unread_memory_.Resize(error ? 0 : bytes);
+}
+
 void CallerConnection::AccountForReading() {
   if (!parser_->got_some()) {
     reading_memory_.Resize(buffer_.size() == 0 ? 0 : buffer_.capacity());
@@ -307,6 +317,7 @@
   ResetParser();
   buffer_ = beast::flat_buffer{};
   reading_memory_.Resize(0);
+  unread_memory_.Resize(0);
 }
 
 void CallerConnection::ParseRequests() {
@@ -555,6 +566,7 @@
   if (phase_ == Phase::kClosed) {
     return;
   }
+  AccountForUnreadInput();
   const Duration idle_time = now - last_activity_;
   if (phase_ != Phase::kOpen) {
     if (idle_time > kLingerTimeout) {
@@ -603,6 +615,7 @@
   parser_.reset();
   buffer_ = beast::flat_buffer{};
   reading_memory_.Resize(0);
+  unread_memory_.Resize(0);
 }
 
 }  // namespace sycamorestall
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -99,7 +99,8 @@
 
   // Starts reading requests.
   void Start(Instant now);
-  // Closes the connection if it has been idle, or sending a request, for too long.
+  // Closes the connection if it has been idle, or sending a request, for too long, and counts the
+  // bytes that wait to be read.
   void CheckTimeouts(Instant now);
   // Closes the connection if it has been idle for a while. Otherwise it is closed as soon as all
   // requests that were read are answered.
@@ -151,6 +152,8 @@
   // Whether the head with the chunk extensions and the trailers is longer than a head may be. What
   // the parser leaves unparsed as it needs more is part of these.
   bool IsFramingTooLong(bool needs_more) const;
+  // Counts the bytes that have arrived and were not read: the system holds them for the process.
+  void AccountForUnreadInput();
   // Counts the memory of the request that is being read.
   void AccountForReading();
   // Lets go of the request that is being read.
@@ -183,6 +186,8 @@
   const std::shared_ptr<MemoryAccount> account_;
   // Of the request that is being read.
   MemoryReservation reading_memory_;
+  // Of the bytes that have arrived and were not read, as of the last check of the timeouts.
+  MemoryReservation unread_memory_;
   TransferProgress read_progress_;
   TransferProgress write_progress_;
   std::size_t written_bytes_ = 0;
--- a/src/net/caller_listener.cc
+++ b/src/net/caller_listener.cc
@@ -86,6 +86,9 @@
   for (const auto& connection : connections_) {
     connection->CheckTimeouts(now);
   }
+  if (account_) {
+    account_->Relieve(now);
+  }
   std::erase_if(connections_, [](const auto& each) { return each->closed(); });
 }
 
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -436,6 +436,24 @@
   CHECK(fixture.collector.exchanges.size() > taken);
 }
 
+// Guards against bytes that the system holds for a connection that is not read at present.
+TEST_CASE("bytes that wait to be read count until they are read") {
+  constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
+  const auto account = std::make_shared<MemoryAccount>(64 * kBodyBytes);
+  ConnectionFixture fixture{account};
+  fixture.Send("POST /1 HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n" +
+               std::string(kBodyBytes, 'x'));
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  const std::size_t held_before = account->held();
+  fixture.SendUntilBlocked("GET /2 HTTP/1.1\r\nA: " + std::string(10'000, 'x') + "\r\n\r\n");
+  fixture.listener().CheckTimeouts(BootNow());
+  CHECK(account->held() > held_before + 10'000);
+  fixture.Answer(0, "done");
+  fixture.collector.exchanges.erase(fixture.collector.exchanges.begin());
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  CHECK(account->held() < kBodyBytes);
+}
+
 // Guards against a limit that stays as it was when the connection became idle.
 TEST_CASE("a request is read with the limits that apply when it begins") {
   ConnectionFixture fixture;
