Disconnect callers that stop in a request when connections run out

At the limit of connections only idle ones made room for new ones, so callers that never finish their requests could take all descriptors. The connection whose request makes no progress for longest now makes room if none is idle. Progress counts anew from the begin of each request. The limit of time for answers that are not taken is gone again: the system reports progress of a slow reader too coarsely for it.

--- a/src/net/caller_connection.cc
+++ b/src/net/caller_connection.cc
@@ -227,6 +227,10 @@
                                 : phase_ != Phase::kClosed;
 }
 
+bool CallerConnection::IsReading() const {
+  return phase_ == Phase::kOpen && exchanges_.empty() && parser_->got_some();
+}
+
 bool CallerConnection::HasUnreadInput() {
   beast::error_code ignored;  // A socket that is broken has no input.
   return socket_.available(ignored) > 0;
@@ -327,6 +331,7 @@
         break;
       }
       ApplyLimits();
+      read_progress_.Restart(last_activity_);
     }
     if (!ParseBytes()) {
       break;
@@ -574,19 +579,15 @@
     }
     return;
   }
-  const CallerLimits limits = handler_.Limits();
   // Nothing is read at present that would show the end of the connection.
   if (!reading_ && HasCallerLeft()) {
     Abandon();
     return;
   }
-  if (writing_ && now - write_progress_.progressed_at() > limits.idle_timeout) {
-    Abandon();
-    return;
-  }
   if (!exchanges_.empty()) {
     return;
   }
+  const CallerLimits limits = handler_.Limits();
   const bool in_request = parser_->got_some();
   if (idle_time > (in_request ? limits.header_timeout : limits.idle_timeout)) {
     Close();
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -109,6 +109,10 @@
   void Close();
   // Whether no request is open, being read or waiting to be read.
   bool IsIdle();
+  // Whether a request is being read and no other is open.
+  bool IsReading() const;
+  // When the request that is being read began, or last made progress.
+  Instant read_progressed_at() const { return read_progress_.progressed_at(); }
   // When bytes were last read or an answer was written, or when the connection was accepted.
   Instant last_activity() const { return last_activity_; }
   // Whether the socket is closed.
--- a/src/net/caller_listener.cc
+++ b/src/net/caller_listener.cc
@@ -35,7 +35,7 @@
           return;
         }
         if (error) {
-          EvictIdleConnection();
+          EvictConnection();
           AcceptLater();
           return;
         }
@@ -56,7 +56,7 @@
 void CallerListener::Accepted(asio::ip::tcp::socket socket) {
   const bool full = max_connections_ != 0 && connections_.size() >= max_connections_;
   if (full) {
-    EvictIdleConnection();
+    EvictConnection();
   }
   SetTcpOptions(socket);
   auto connection = std::make_shared<CallerConnection>(std::move(socket), handler_, account_);
@@ -64,20 +64,27 @@
   connection->Start(BootNow());
 }
 
-bool CallerListener::EvictIdleConnection() {
+bool CallerListener::EvictConnection() {
   std::erase_if(connections_, [](const auto& each) { return each->closed(); });
   std::shared_ptr<CallerConnection> longest_idle;
+  std::shared_ptr<CallerConnection> slowest;
   for (const auto& connection : connections_) {
     const bool longer =
         longest_idle == nullptr || connection->last_activity() < longest_idle->last_activity();
     if (longer && connection->IsIdle()) {
       longest_idle = connection;
     }
+    const bool slower =
+        slowest == nullptr || connection->read_progressed_at() < slowest->read_progressed_at();
+    if (slower && connection->IsReading()) {
+      slowest = connection;
+    }
   }
-  if (longest_idle == nullptr) {
+  const auto& evicted = longest_idle != nullptr ? longest_idle : slowest;
+  if (evicted == nullptr) {
     return false;
   }
-  longest_idle->Close();
+  evicted->Close();
   ++evicted_connections_;
   return true;
 }
--- a/src/net/caller_listener.h
+++ b/src/net/caller_listener.h
@@ -16,7 +16,8 @@
  public:
   // Binds to the address and starts accepting; throws boost::system::system_error if binding
   // fails. At max_connections, if that is not 0, the connection that has been idle longest is
-  // closed for a new one; one on which a request is open is never closed. What callers make the
+  // closed for a new one, and without idle ones the one whose request makes no progress for
+  // longest; one on which a request is open is never closed. What callers make the
   // connections hold counts in the account, if there is one.
   CallerListener(boost::asio::io_context& context, const NetworkAddress& address,
                  CallerHandler& handler, std::size_t max_connections = 0,
@@ -35,7 +36,7 @@
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   // Number of connections that neither side has closed completely.
   std::size_t open_connections() const;
-  // Idle connections that were closed to make room.
+  // Connections that were closed to make room.
   std::uint64_t evicted_connections() const { return evicted_connections_; }
 
  private:
@@ -43,8 +44,9 @@
   void Accepted(boost::asio::ip::tcp::socket socket);
   // Accepts again after a while, as no connection can be accepted now.
   void AcceptLater();
-  // Closes the connection that has been idle longest. Returns false if none is idle.
-  bool EvictIdleConnection();
+  // Closes the connection that has been idle longest or, if none is idle, the one whose request is
+  // being read without progress for longest. Returns false if there is neither.
+  bool EvictConnection();
 
   boost::asio::ip::tcp::acceptor acceptor_;
   CallerHandler& handler_;
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -197,6 +197,31 @@
   CHECK_FALSE(collector.exchanges.front()->abandoned());
 }
 
+// Guards against callers that keep all connections busy with requests that they never finish.
+TEST_CASE("callers that stop in a request do not use up the descriptors") {
+  constexpr std::size_t kMaxConnections = 20;
+  asio::io_context context{1};
+  asio::ip::tcp::acceptor probe{context, {asio::ip::make_address("127.0.0.1"), 0}};
+  const std::uint16_t port = probe.local_endpoint().port();
+  probe.close();
+  RequestCollector collector;
+  CallerListener listener{context, {"127.0.0.1", port}, collector, kMaxConnections};
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> sockets;
+  const std::string begin = "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx";
+  for (std::size_t i = 0; i < 3 * kMaxConnections; ++i) {
+    sockets.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+    sockets.back()->connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(*sockets.back(), asio::buffer(begin));
+    context.restart();
+    context.run_for(std::chrono::milliseconds{5});
+    CHECK(listener.open_connections() <= kMaxConnections);
+  }
+  asio::write(*sockets.back(), asio::buffer("x", 1));
+  context.restart();
+  context.run_for(std::chrono::milliseconds{5});
+  CHECK(collector.exchanges.size() == 1);
+}
+
 TEST_CASE("malformed and oversized requests are rejected before they reach the handler") {
   struct Row {
     std::string name;
