--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -99,7 +99,8 @@
 
   // Starts reading requests.
   void Start(Instant now);
-  // Closes the connection if it has been idle, or sending a request, for too long.
+  // Closes the connection if it has been idle, or sending a request, for too long, and counts the
+  // bytes that wait to be read.
   void CheckTimeouts(Instant now);
   // Closes the connection if it has been idle for a while. Otherwise it is closed as soon as all
   // requests that were read are answered.
@@ -108,6 +109,10 @@
   void Close();
   // Whether no request is open, being read or waiting to be read.
   bool IsIdle();
+  // Whether a request is being read and no other is open.
+  bool IsReading() const;
+  // When the request that is being read began, or last made progress.
+  Instant read_progressed_at() const { return read_progress_.progressed_at(); }
   // When bytes were last read or an answer was written, or when the connection was accepted.
   Instant last_activity() const { return last_activity_; }
   // Whether the socket is closed.
@@ -151,6 +156,8 @@
   // Whether the head with the chunk extensions and the trailers is longer than a head may be. What
   // the parser leaves unparsed as it needs more is part of these.
   bool IsFramingTooLong(bool needs_more) const;
+  // Counts the bytes that have arrived and were not read: the system holds them for the process.
+  void AccountForUnreadInput();
   // Counts the memory of the request that is being read.
   void AccountForReading();
   // Lets go of the request that is being read.
@@ -183,6 +190,8 @@
   const std::shared_ptr<MemoryAccount> account_;
   // Of the request that is being read.
   MemoryReservation reading_memory_;
+  // Of the bytes that have arrived and were not read, as of the last check of the timeouts.
+  MemoryReservation unread_memory_;
   TransferProgress read_progress_;
   TransferProgress write_progress_;
   std::size_t written_bytes_ = 0;
--- a/tests/net/caller_connection_test.cc
+++ b/tests/net/caller_connection_test.cc
@@ -197,6 +197,31 @@
   CHECK_FALSE(collector.exchanges.front()->abandoned());
 }
 
+// Guards against callers that keep all connections busy with requests that they never finish.
+TEST_CASE("callers that stop in a request do not use up the descriptors") {
+  constexpr std::size_t kMaxConnections = 20;
+  asio::io_context context{1};
+  asio::ip::tcp::acceptor probe{context, {asio::ip::make_address("127.0.0.1"), 0}};
+  const std::uint16_t port = probe.local_endpoint().port();
+  probe.close();
+  RequestCollector collector;
+  CallerListener listener{context, {"127.0.0.1", port}, collector, kMaxConnections};
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> sockets;
+  const std::string begin = "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx";
+  for (std::size_t i = 0; i < 3 * kMaxConnections; ++i) {
+    sockets.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+    sockets.back()->connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(*sockets.back(), asio::buffer(begin));
+    context.restart();
+    context.run_for(std::chrono::milliseconds{5});
+    CHECK(listener.open_connections() <= kMaxConnections);
+  }
+  asio::write(*sockets.back(), asio::buffer("x", 1));
+  context.restart();
+  context.run_for(std::chrono::milliseconds{5});
+  CHECK(collector.exchanges.size() == 1);
+}
+
 TEST_CASE("malformed and oversized requests are rejected before they reach the handler") {
   struct Row {
     std::string name;
@@ -436,6 +461,24 @@
   CHECK(fixture.collector.exchanges.size() > taken);
 }
 
+// Guards against bytes that the system holds for a connection that is not read at present.
+TEST_CASE("bytes that wait to be read count until they are read") {
+  constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
+  const auto account = std::make_shared<MemoryAccount>(64 * kBodyBytes);
+  ConnectionFixture fixture{account};
+  fixture.Send("POST /1 HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n" +
+               std::string(kBodyBytes, 'x'));
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  const std::size_t held_before = account->held();
+  fixture.SendUntilBlocked("GET /2 HTTP/1.1\r\nA: " + std::string(10'000, 'x') + "\r\n\r\n");
+  fixture.listener().CheckTimeouts(BootNow());
+  CHECK(account->held() > held_before + 10'000);
+  fixture.Answer(0, "done");
+  fixture.collector.exchanges.erase(fixture.collector.exchanges.begin());
+  REQUIRE(fixture.collector.exchanges.size() == 1);
+  CHECK(account->held() < kBodyBytes);
+}
+
 // Guards against a limit that stays as it was when the connection became idle.
 TEST_CASE("a request is read with the limits that apply when it begins") {
   ConnectionFixture fixture;
