--- a/src/core/cross_domain_policy.cc
+++ b/src/core/cross_domain_policy.cc
@@ -9,12 +9,12 @@
 
 // Bodies of this size or more count as large: their bytes outweigh the heads of a request and an
 // answer many times.
-constexpr std::size_t kLargeBodyBytes = 8 * 1024;
+constexpr std::size_t kLargeBodyBytes = std::size_t{8} * 1024;
 // The load per slot up to which a domain runs requests of its own daemons. Above it, requests
 // queue because the load is spread unevenly over the endpoints.
 constexpr double kFullLoadPerSlot = 0.95;
 // Above the first load per slot requests begin to leave, below the second they cease.
-constexpr double kBeginLoadPerSlot = 1.05;
+constexpr double kBeginLoadPerSlot = 1.0;
 constexpr double kEndLoadPerSlot = 0.85;
 // The load per slot up to which a domain is filled by others. It lies below the load at which it
 // would pass requests on itself.
@@ -23,8 +23,13 @@
 constexpr double kMinLoadDifference = 0.2;
 // The part of the spare capacity that is claimed at once: other domains may claim it too.
 constexpr double kClaimedSpare = 0.5;
-// Time constant of smoothing: chance variations of the load last as long as a request.
-constexpr double kSmoothingSeconds = 0.5;
+// With loads reported later than this, a queue builds up at home before a shortage is noticed, and
+// the share of what leaves is right only for a load that has passed. 130 daemons report so late.
+constexpr std::chrono::milliseconds kMaxLoadAge{1000};
+// Time constant of smoothing, also as a multiple of the age of the other daemons' loads: the effect
+// of a change shows only then.
+constexpr double kMinSmoothingSeconds = 0.2;
+constexpr double kSmoothingAges = 0.5;
 constexpr double kOccupancyDecaySeconds = 5;
 constexpr double kLinkDecaySeconds = 3;
 // A domain with more failures than this per attempt counts as lossy.
@@ -32,11 +37,14 @@
 constexpr double kMinFailures = 1.5;
 // Slots of an endpoint that is slow after its start count as this many.
 constexpr double kColdSlotShare = 0.3;
+// More requests in flight than this per slot of an endpoint show that the load is spread unevenly
+// rather than that it is too high.
+constexpr double kMaxCountedLoad = 1.1;
 // A request looks elsewhere if its expected latency exceeds this share of the time that is left of
 // its latency target: some requests take several times as long as expected.
 constexpr double kMaxTargetShare = 0.5;
 // Then an endpoint elsewhere has to be faster by this factor.
-constexpr double kMinGain = 0.7;
+constexpr double kMinGain = 0.8;
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -60,15 +68,22 @@
   return usable ? share * static_cast<double>(endpoint.entry.slots) : 0;
 }
 
+// The requests in flight at an endpoint, without those that queue there while others are idle.
+double CountedLoad(const EndpointState& endpoint) {
+  return std::min(static_cast<double>(endpoint.load()),
+                  kMaxCountedLoad * static_cast<double>(endpoint.entry.slots));
+}
+
 }  // namespace
 
 void CrossDomainPolicy::Update(const EndpointFleet& fleet, const DomainReachability& domains,
-                               Instant now) {
+                               Duration load_age, Instant now) {
+  load_age_ = load_age;
   std::map<ServiceName, DomainLoads> services;
   for (const auto& [id, endpoint] : fleet.all()) {
     DomainLoad& load = services[endpoint.entry.service][endpoint.entry.domain];
     load.slots += UsableSlots(endpoint, domains, now);
-    load.load += static_cast<double>(endpoint.load());
+    load.load += CountedLoad(endpoint);
     load.in_flight += static_cast<double>(endpoint.in_flight);
   }
   std::erase_if(services_, [&](const auto& each) { return !services.contains(each.first); });
@@ -83,27 +98,25 @@
   const CrossDomainLoad& peers = peers_[service];
   DomainLoad own;
   auto outside = static_cast<double>(peers.leaving);
-  state.share.targets.clear();
   for (const auto& [domain, load] : loads) {
     if (domain == domain_) {
       own = load;
-      continue;
-    }
-    outside += load.in_flight;
-    if (load.slots > 0 && !domains.IsUnreachable(domain, now) && !IsLossy(domain, now)) {
-      state.share.targets.insert(domain);
+    } else {
+      outside += load.in_flight;
     }
   }
+  state.share.targets = FindTargets(own, loads, domains, now);
   if (own.slots == 0) {
     state.excess = 1;
     state.leaving = true;
-    SplitByBody(state, 1);
     state.updated_at = now;
+    SplitByBody(state, 1);
     return;
   }
   // The load that the domain would have if all requests of its daemons ran there.
   const double load_per_slot = (own.load + outside) / own.slots;
-  const double kept = Decay(state.updated_at, now, kSmoothingSeconds);
+  const double smoothing_s = std::max(kMinSmoothingSeconds, kSmoothingAges * Seconds(load_age_));
+  const double kept = Decay(state.updated_at, now, smoothing_s);
   state.excess = kept * state.excess + (1 - kept) * (load_per_slot - kFullLoadPerSlot);
   state.updated_at = now;
   state.leaving =
@@ -112,31 +125,48 @@
     SplitByBody(state, 0);
     return;
   }
-  const double spare = SpareElsewhere(state.share, loads, own.load / own.slots);
+  double spare = 0;
+  for (const DomainName& target : state.share.targets) {
+    const DomainLoad& load = loads.at(target);
+    spare += MaxLoadElsewhere(own) * load.slots - load.load;
+  }
   const double claim = std::min(state.excess * own.slots, outside + kClaimedSpare * spare);
   const double total = own.load - static_cast<double>(peers.entering) + outside;
   SplitByBody(state, std::clamp(claim / std::max(total, 1.0), 0.0, 1.0));
 }
 
-double CrossDomainPolicy::SpareElsewhere(const CrossDomainShare& share, const DomainLoads& loads,
-                                         double own_load_per_slot) const {
-  const double full = std::max(kSpareLoadPerSlot, own_load_per_slot - kMinLoadDifference);
-  double spare = 0;
-  for (const DomainName& target : share.targets) {
-    const DomainLoad& load = loads.at(target);
-    spare += full * load.slots - load.load;
+std::set<DomainName> CrossDomainPolicy::FindTargets(const DomainLoad& own, const DomainLoads& loads,
+                                                    const DomainReachability& domains,
+                                                    Instant now) const {
+  std::set<DomainName> targets;
+  for (const auto& [domain, load] : loads) {
+    const bool has_room = load.slots > 0 && load.load < MaxLoadElsewhere(own) * load.slots;
+    if (domain != domain_ && (has_room || own.slots == 0) && !domains.IsUnreachable(domain, now) &&
+        !IsLossy(domain, now)) {
+      targets.insert(domain);
+    }
   }
-  return spare;
+  return targets;
 }
 
-void CrossDomainPolicy::SplitByBody(ServiceState& state, double leaving) const {
+double CrossDomainPolicy::MaxLoadElsewhere(const DomainLoad& own) {
+  const double own_load_per_slot = own.load / std::max(own.slots, 1.0);
+  return std::max(kSpareLoadPerSlot, own_load_per_slot - kMinLoadDifference);
+}
+
+void CrossDomainPolicy::SplitByBody(ServiceState& state, double leaving) {
   const Occupancy& occupancy = state.occupancy;
   const double total = occupancy.small_bodies_s + occupancy.large_bodies_s;
   const double small = total > 0 ? occupancy.small_bodies_s / total : 0;
-  state.share.small_bodies = leaving >= small ? (leaving > 0 ? 1 : 0) : leaving / small;
-  state.share.large_bodies = small < 1 ? std::max(0.0, leaving - small) / (1 - small) : 0;
-  if (leaving == 1) {
-    state.share.large_bodies = 1;
+  if (leaving == 0 || leaving == 1) {
+    state.share.small_bodies = leaving;
+    state.share.large_bodies = leaving;
+  } else if (leaving < small) {
+    state.share.small_bodies = leaving / small;
+    state.share.large_bodies = 0;
+  } else {
+    state.share.small_bodies = 1;
+    state.share.large_bodies = small < 1 ? (leaving - small) / (1 - small) : 0;
   }
 }
 
@@ -170,6 +200,8 @@
          link.failures > kMaxFailuresPerAttempt * link.attempts;
 }
 
+bool CrossDomainPolicy::IsInForce() const { return load_age_ <= kMaxLoadAge; }
+
 const CrossDomainShare& CrossDomainPolicy::ShareOf(const ServiceName& service) const {
   static const CrossDomainShare kNone;
   const auto found = services_.find(service);
@@ -185,7 +217,7 @@
 
 std::optional<EndpointChoice> CrossDomainChooser::Choose(
     const EndpointFleet& fleet, const EndpointChoiceRequest& request) const {
-  if (!request.without_keys || !request.tried.empty()) {
+  if (!request.without_keys || !request.tried.empty() || !policy_.IsInForce()) {
     return least_latency_.Choose(fleet, request);
   }
   const CrossDomainShare& share = policy_.ShareOf(request.service);
@@ -196,14 +228,15 @@
   }
   EndpointChoiceRequest at_home = request;
   at_home.preferred_domains = &policy_.own_domain();
-  const auto choice = least_latency_.Choose(fleet, at_home);
+  auto choice = least_latency_.Choose(fleet, at_home);
   const double target_s = Seconds(request.without_keys->latency_target);
   if (!choice || share.targets.empty() ||
       choice->expected_latency_s <= kMaxTargetShare * target_s) {
     return choice;
   }
   const auto other = least_latency_.Choose(fleet, elsewhere);
-  const bool gains = other && other->expected_latency_s < kMinGain * choice->expected_latency_s;
+  const bool gains = other && other->expected_latency_s <= kMaxTargetShare * target_s &&
+                     other->expected_latency_s < kMinGain * choice->expected_latency_s;
   return gains ? other : choice;
 }
 
--- a/src/core/cross_domain_policy.h
+++ b/src/core/cross_domain_policy.h
@@ -45,12 +45,16 @@
 
   // Sets what the other daemons last reported.
   void SetPeerLoads(std::map<ServiceName, CrossDomainLoad> loads) { peers_ = std::move(loads); }
-  // Computes the shares of all services anew.
-  void Update(const EndpointFleet& fleet, const DomainReachability& domains, Instant now);
+  // Computes the shares of all services anew. load_age tells how old the loads may be that the
+  // other daemons reported.
+  void Update(const EndpointFleet& fleet, const DomainReachability& domains, Duration load_age,
+              Instant now);
   // Records how an attempt of a request at an endpoint of a domain ended and how long it took.
   void RecordAttempt(const ServiceName& service, const DomainName& domain, std::size_t body_bytes,
                      AttemptResult result, Duration elapsed, Instant now);
 
+  // Whether the loads are known soon enough for the policy to decide.
+  bool IsInForce() const;
   // Returns the share of a service; that of an unknown one is 0.
   const CrossDomainShare& ShareOf(const ServiceName& service) const;
   // Whether a request leaves the domain. random differs between requests.
@@ -95,24 +99,28 @@
 
   void UpdateService(const ServiceName& service, const DomainLoads& loads,
                      const DomainReachability& domains, Instant now);
-  // How many requests the target domains may have in flight beyond their present load, given the
-  // load per slot of the own domain. Negative if they have too many.
-  double SpareElsewhere(const CrossDomainShare& share, const DomainLoads& loads,
-                        double own_load_per_slot) const;
+  // The domains that can take requests: reachable ones with spare capacity, or all reachable ones
+  // if the own domain has no endpoint that accepts requests.
+  std::set<DomainName> FindTargets(const DomainLoad& own, const DomainLoads& loads,
+                                   const DomainReachability& domains, Instant now) const;
+  // The load per slot up to which other domains are filled.
+  static double MaxLoadElsewhere(const DomainLoad& own);
   // Splits the share of the load that leaves between small and large bodies.
-  void SplitByBody(ServiceState& state, double leaving) const;
+  static void SplitByBody(ServiceState& state, double leaving);
   bool IsLossy(const DomainName& domain, Instant now) const;
 
   const DomainName domain_;
   const std::set<DomainName> own_domain_{domain_};
   std::map<ServiceName, CrossDomainLoad> peers_;
+  Duration load_age_ = Duration::max();
   std::map<ServiceName, ServiceState> services_;
   std::map<DomainName, LinkQuality> links_;
 };
 
 // Chooses the endpoint with the lowest cost in the domain that CrossDomainPolicy selects for the
 // request. A request that would miss its latency target there, and probably not elsewhere, goes
-// elsewhere; so does a retry, and any request for which the domain has no endpoint.
+// elsewhere; so does a request for which the domain has no endpoint. A retry, and any request while
+// the policy is not in force, goes to the endpoint with the lowest cost of all.
 class CrossDomainChooser : public EndpointChooser {
  public:
   // The policy has to outlive the chooser.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -245,7 +245,7 @@
   SendMessages(now);
   if (now >= next_cross_domain_update_at_) {
     next_cross_domain_update_at_ = now + kCrossDomainUpdateInterval;
-    cross_domain_.Update(fleet_, domains_, now);
+    cross_domain_.Update(fleet_, domains_, relay_context_.load_age, now);
   }
   const auto relays = active_relays_;
   for (const auto& relay : relays) {
