--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -26,7 +26,7 @@
   RetryLimits retries;
   // Descriptors that the process may use; 0 if that is not limited.
   std::size_t max_descriptors = 0;
-  // Memory that the process may use, in bytes; 0 if that is not limited.
+  // Memory that the process may use, in bytes; 0 if that is not known.
   std::size_t max_memory_bytes = 0;
   // In any second a cold endpoint may get this multiple of the rate that its service names, plus
   // the slack, from all daemons together; a factor of 0 means that there is no such limit.
--- a/src/core/memory_account.cc
+++ b/src/core/memory_account.cc
@@ -10,6 +10,8 @@
 constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
 // The code, the tables of endpoints and keys, and the buffers of the log.
 constexpr std::size_t kProcessBytes = 32 * kMebibyte;
+// Three of the longest usual bodies fit into this beside the process.
+constexpr std::size_t kDefaultMemoryBytes = 256 * kMebibyte;
 // A holder of less is an ordinary one; the number of connections bounds the sum.
 constexpr std::size_t kMinReleasedBytes = std::size_t{16} * 1024;
 // A part of this size counts as progress.
@@ -28,8 +30,8 @@
 
 }  // namespace
 
-std::size_t MaxHeldBytes(std::size_t max_memory_bytes, std::size_t machine_memory_bytes) {
-  const std::size_t available = max_memory_bytes != 0 ? max_memory_bytes : machine_memory_bytes / 2;
+std::size_t MaxHeldBytes(std::size_t max_memory_bytes) {
+  const std::size_t available = max_memory_bytes != 0 ? max_memory_bytes : kDefaultMemoryBytes;
   return available > 2 * kProcessBytes ? available - kProcessBytes : available / 2;
 }
 
--- a/src/core/memory_account.h
+++ b/src/core/memory_account.h
@@ -13,8 +13,8 @@
 namespace sycamorestall {
 
 // Returns how many bytes callers and endpoints may make a process hold that may use so many bytes,
-// or that runs on a machine with so much memory if that is 0. The rest is for the process itself.
-std::size_t MaxHeldBytes(std::size_t max_memory_bytes, std::size_t machine_memory_bytes);
+// or 256 MiB if that is 0. The rest is for the process itself.
+std::size_t MaxHeldBytes(std::size_t max_memory_bytes);
 
 // What a holder of memory would give up.
 enum class HeldFor {
--- a/src/router/process_memory.cc
+++ b/src/router/process_memory.cc
@@ -1,7 +1,6 @@
 #include "router/process_memory.h"
 
 #include <malloc.h>
-#include <unistd.h>
 
 namespace sycamorestall {
 
@@ -13,11 +12,6 @@
 
 }  // namespace
 
-std::size_t MachineMemoryBytes() {
-  return static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) *
-         static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 void ReturnLargeBlocks() { mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes); }
 
 void ReturnFreedMemory() { malloc_trim(0); }
--- a/src/router/process_memory.h
+++ b/src/router/process_memory.h
@@ -1,12 +1,7 @@
 #pragma once
 
-#include <cstddef>
-
 namespace sycamorestall {
 
-// The memory of the machine in bytes.
-std::size_t MachineMemoryBytes();
-
 // Makes the allocator return large blocks to the system as soon as they are freed.
 void ReturnLargeBlocks();
 
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -103,8 +103,7 @@
                              const StoreFactory& make_store)
     : settings_(std::move(settings)),
       formats_(formats),
-      memory_(std::make_shared<MemoryAccount>(
-          MaxHeldBytes(settings_.max_memory_bytes, MachineMemoryBytes()))),
+      memory_(std::make_shared<MemoryAccount>(MaxHeldBytes(settings_.max_memory_bytes))),
       pool_(context_, memory_),
       store_(make_store(pool_)),
       store_watcher_(*store_, *this, BootNow),
--- a/tests/core/memory_account_test.cc
+++ b/tests/core/memory_account_test.cc
@@ -84,9 +84,9 @@
 // Guards against a limit that leaves no room for the process, or that refuses a body of 64 MB on
 // the smallest machines.
 TEST_CASE("the limit leaves room for the process and for the longest usual body") {
-  CHECK(MaxHeldBytes(112 * kMebibyte, 0) == 80 * kMebibyte);
-  CHECK(MaxHeldBytes(0, 1024 * kMebibyte) == 480 * kMebibyte);
-  CHECK(MaxHeldBytes(16 * kMebibyte, 0) == 8 * kMebibyte);
+  CHECK(MaxHeldBytes(112 * kMebibyte) == 80 * kMebibyte);
+  CHECK(MaxHeldBytes(0) == 224 * kMebibyte);
+  CHECK(MaxHeldBytes(16 * kMebibyte) == 8 * kMebibyte);
 }
 
 // Guards against callers that send a byte now and then to pass for busy.
