--- a/tests/core/cross_domain_simulation_test.cc
+++ b/tests/core/cross_domain_simulation_test.cc
@@ -303,9 +303,9 @@
     ++endpoint.running;
     const auto period =
         static_cast<std::uint64_t>(Seconds(now_.time_since_epoch()) / kSlowPeriodSeconds);
-    const bool slow =
-        std::hash<std::string>{}(std::to_string(index) + "/" + std::to_string(period)) % 100 <
-        100 * kSlowShare;
+    const std::uint64_t hash =
+        std::hash<std::string>{}(std::to_string(index) + "/" + std::to_string(period));
+    const bool slow = static_cast<double>(hash % 100) < 100 * kSlowShare;
     std::uniform_real_distribution<double> spread{0.7, 1.3};
     At(InSeconds(kServiceSeconds * endpoint.slowness * (slow ? kSlowFactor : 1) * spread(random_)),
        [this, index, request] { FinishRequest(index, request); });
@@ -333,7 +333,8 @@
 
   // Ends endpoints of the first domain; the list shows it a second later.
   void LoseEndpoints() {
-    const auto lost = static_cast<std::size_t>(scenario_.lost_share * endpoints_.size() / kDomains);
+    const std::size_t own = endpoints_.size() / kDomains;
+    const auto lost = static_cast<std::size_t>(scenario_.lost_share * static_cast<double>(own));
     for (std::size_t i = 0; i < lost; ++i) {
       endpoints_[i * kDomains].alive = false;
       At(std::chrono::seconds{1}, [this, i] {
