Shorten queues of busy owners, learn how many requests an endpoint takes, tell refusals apart

Cause: with a fixed share of the latency target, 0.1 to 0.2 % of requests were refused at 0.7 of the capacity, while busy owners still answered many late. Requests of low priority could starve behind urgent ones. Endpoints with a short queue were filled as if they took what the target allows.

Change: the share of the latency target that requests to an owner may take falls from 0.95 to 0.7 while its load stays above its slots. One request in eight counts as most urgent. LearnedRoom cuts the room after refusals of busy endpoints. Refusals are reported as full, shared and too slow. A slowdown is forgotten in 0.7 s instead of 1.5 s.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -9,12 +9,12 @@
 // Requests that an endpoint accepts per slot at most, including running ones. A longer queue does
 // not let it finish more requests.
 constexpr double kMaxQueueingFactor = 2.5;
-// The expected latency may take this share of the time to the latency target, as half of the
-// requests take longer than expected.
-constexpr double kTargetShare = 0.8;
 // What each step of priority takes from the room beyond the slots.
 constexpr double kRoomStepPerPriority = 0.2;
 constexpr double kMinRoomShare = 0.2;
+// The share of requests that count as most urgent whatever their priority is, so that requests of
+// lower priority get some of the room that more urgent ones fill.
+constexpr double kUnrankedShare = 0.125;
 constexpr std::chrono::milliseconds kMinRetryAfter{50};
 constexpr std::chrono::milliseconds kMaxRetryAfter{1000};
 constexpr std::chrono::milliseconds kMaxRetryAfterInExcess{10'000};
@@ -46,17 +46,33 @@
 double AdmissionRoom(const EndpointState& endpoint, double service_time_s,
                      const AdmissionRequest& request) {
   const auto slots = static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
-  double queueing_factor = kMaxQueueingFactor;
+  double queueing_factor =
+      std::min(kMaxQueueingFactor, endpoint.learned_room.RequestsPerSlot(request.now));
   if (request.target_left && service_time_s > 0) {
-    queueing_factor =
-        std::min(queueing_factor, kTargetShare * Seconds(*request.target_left) / service_time_s);
+    queueing_factor = std::min(
+        queueing_factor, request.target_share * Seconds(*request.target_left) / service_time_s);
   }
-  const double share = std::max(kMinRoomShare, 1 - kRoomStepPerPriority * request.priority);
+  const int priority = request.random < kUnrankedShare ? 0 : request.priority;
+  const double share = std::max(kMinRoomShare, 1 - kRoomStepPerPriority * priority);
   return slots * (1 + share * std::max(0.0, queueing_factor - 1));
 }
 
+const char* ToString(AdmissionRefusal refusal) {
+  switch (refusal) {
+    case AdmissionRefusal::kNone:
+      return "none";
+    case AdmissionRefusal::kTooLate:
+      return "too slow";
+    case AdmissionRefusal::kFull:
+      return "full";
+    case AdmissionRefusal::kShareUsed:
+      break;
+  }
+  return "shared";
+}
+
 AdmissionDecision RefuseAdmission(const EndpointState& endpoint, double expected_latency_s,
-                                  const AdmissionRequest& request) {
+                                  const AdmissionRequest& request, AdmissionRefusal refusal) {
   const double queueing_factor = endpoint.queueing_factor();
   const double service_time_s = expected_latency_s / queueing_factor;
   const double excess = std::max(1.0, request.demand_ratio);
@@ -73,19 +89,24 @@
       retry_after = std::min(retry_after, latest);
     }
   }
-  return {false, retry_after};
+  return {false, retry_after, refusal};
 }
 
 AdmissionDecision CheckAdmission(const EndpointState& endpoint, double expected_latency_s,
                                  const AdmissionRequest& request) {
   const double service_time_s = expected_latency_s / endpoint.queueing_factor();
   const double room = AdmissionRoom(endpoint, service_time_s, request);
-  const bool fits = static_cast<double>(endpoint.load()) + 1 <= room;
-  const bool over_share = endpoint.in_flight >= DaemonShare(room, request.daemons);
-  if (fits && SecondsToDuration(expected_latency_s) <= request.time_left && !over_share) {
+  AdmissionRefusal refusal = AdmissionRefusal::kNone;
+  if (SecondsToDuration(expected_latency_s) > request.time_left) {
+    refusal = AdmissionRefusal::kTooLate;
+  } else if (static_cast<double>(endpoint.load()) + 1 > room) {
+    refusal = AdmissionRefusal::kFull;
+  } else if (endpoint.in_flight >= DaemonShare(room, request.daemons)) {
+    refusal = AdmissionRefusal::kShareUsed;
+  } else {
     return {};
   }
-  return RefuseAdmission(endpoint, expected_latency_s, request);
+  return RefuseAdmission(endpoint, expected_latency_s, request, refusal);
 }
 
 }  // namespace sycamorestall
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -22,14 +22,33 @@
   std::optional<Duration> target_left{};
   // A random number from 0 to 1, which spreads the times to retry.
   double random = 0.5;
+  Instant now{};
+  // The share of the time to the latency target that the expected latency may take, as half of the
+  // requests take longer than expected.
+  double target_share = 0.8;
 };
 
+// Why a request may not be sent to an endpoint now.
+enum class AdmissionRefusal {
+  kNone,
+  // It would probably end after the time left.
+  kTooLate,
+  // It would probably end after the latency target, or delay others.
+  kFull,
+  // This daemon has used its share of the endpoint.
+  kShareUsed,
+};
+
+// The cause as a part of the reason that callers get and of metrics.
+const char* ToString(AdmissionRefusal refusal);
+
 // Whether a request may be sent to an endpoint now, and if not, after which time a slot is likely
 // to be free for it. While callers have more requests than the endpoint can run, that time grows
 // with the excess: those who come back sooner would be refused again.
 struct AdmissionDecision {
   bool admitted = true;
   Duration retry_after{};
+  AdmissionRefusal refusal = AdmissionRefusal::kNone;
 
   friend bool operator==(const AdmissionDecision&, const AdmissionDecision&) = default;
 };
@@ -49,6 +68,6 @@
 
 // The decision that refuses a request, with the time to retry.
 AdmissionDecision RefuseAdmission(const EndpointState& endpoint, double expected_latency_s,
-                                  const AdmissionRequest& request);
+                                  const AdmissionRequest& request, AdmissionRefusal refusal);
 
 }  // namespace sycamorestall
--- a/src/core/endpoint_choice.cc
+++ b/src/core/endpoint_choice.cc
@@ -103,7 +103,8 @@
   double best_cost = 0;
   double best_expected_s = 0;
   for (const EndpointState* endpoint : endpoints) {
-    const double expected_s = ExpectedLatencySeconds(*endpoint, mean_s, request.now);
+    const double expected_s = ExpectedLatencySeconds(*endpoint, mean_s, request.now) *
+                              endpoint->reported_load.ServiceTimeFactor(request.now);
     const double load_factor =
         1 + static_cast<double>(endpoint->load()) /
                 static_cast<double>(std::max<std::size_t>(endpoint->entry.slots, 1));
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -133,9 +133,44 @@
     effect.began_pause = state->PauseLeft(now) == Duration{} && *notice.pause > Duration{};
     state->paused_until = std::max(state->paused_until, now + *notice.pause);
   }
+  effect.ignored_load = !notice.malformed_load.empty() ||
+                        (notice.load && !SetReportedLoad(*state, *notice.load, now));
   return effect;
 }
 
+bool EndpointFleet::SetReportedLoad(EndpointState& state, const ReportedLoad& load, Instant now) {
+  if (load.slots != state.entry.slots || load.running > load.slots) {
+    return false;
+  }
+  state.reported_load.Set(load, state.in_flight, now);
+  with_reported_counts_.insert(state.entry.id);
+  return true;
+}
+
+void EndpointFleet::DropReportedCounts(Instant received_before) {
+  std::erase_if(with_reported_counts_, [&](const InstanceId& id) {
+    EndpointState* state = FindKnown(id);
+    const bool dropped = state == nullptr || !state->reported_load.received_at() ||
+                         *state->reported_load.received_at() < received_before;
+    if (dropped && state != nullptr) {
+      state->reported_load.DropCounts();
+    }
+    return dropped;
+  });
+}
+
+double EndpointFleet::ReportedLoadAgeSeconds(Instant now) const {
+  double sum_s = 0;
+  double count = 0;
+  for (const auto& [id, state] : endpoints_) {
+    if (const auto received_at = state.reported_load.received_at()) {
+      sum_s += std::chrono::duration<double>(now - *received_at).count();
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum_s / count;
+}
+
 bool EndpointFleet::HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now) {
   EndpointState* state = FindKnown(id);
   return state != nullptr && state->entry.incarnation == incarnation &&
@@ -291,6 +326,12 @@
   }
 }
 
+void EndpointFleet::RecordRefusal(const InstanceId& id, double queueing_factor, Instant now) {
+  if (EndpointState* state = FindMutable(id)) {
+    state->learned_room.RecordRefusal(queueing_factor, now);
+  }
+}
+
 void EndpointFleet::RecordServiceTime(EndpointState& state, double seconds, Instant now) {
   if (state.mean_service_time_s > 0) {
     state.slowdown.Add(seconds / state.mean_service_time_s, now);
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -3,11 +3,14 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/decaying_rate.h"
 #include "core/endpoint_entry.h"
 #include "core/endpoint_notice.h"
+#include "core/learned_room.h"
+#include "core/reported_load.h"
 #include "core/slowdown_estimate.h"
 
 namespace sycamorestall {
@@ -59,6 +62,10 @@
   double mean_service_time_s = 0;
   // How many times that it takes at present.
   SlowdownEstimate slowdown;
+  // The load that it reported itself.
+  LatestReportedLoad reported_load;
+  // How many requests it takes, from those that it refused.
+  LearnedRoom learned_room;
   // Moving average of failed attempts, 0 to 1.
   double failure_rate = 0;
   // Attempts in a row that ended as kUnreachable, and when the latest one ended.
@@ -68,7 +75,9 @@
   Instant avoid_until;
 
   // Requests in flight at the endpoint from all daemons.
-  std::size_t load() const { return in_flight + peers_in_flight; }
+  std::size_t load() const {
+    return in_flight + reported_load.peers_in_flight().value_or(peers_in_flight);
+  }
   // Whether it is being removed from service, by its entry or by its answers.
   bool draining() const { return entry.draining || announced_draining; }
   // How much longer it wants no requests from this daemon; zero if it takes them.
@@ -136,6 +145,14 @@
   // Counts a request as finished that got no answer until its deadline. The elapsed time counts as
   // measured if it is longer than usual: the request would have taken even longer.
   void EndUnanswered(const InstanceId& id, Duration elapsed, double queueing_factor, Instant now);
+  // Notes that the endpoint refused a request because it was full; queueing_factor is that at the
+  // time of sending.
+  void RecordRefusal(const InstanceId& id, double queueing_factor, Instant now);
+  // Forgets the counts of reported loads that were received before this time, as what the other
+  // daemons reported is newer.
+  void DropReportedCounts(Instant received_before);
+  // The mean age of the latest reported loads, in seconds; 0 if there are none.
+  double ReportedLoadAgeSeconds(Instant now) const;
   // Counts the request as finished without updating the measurements.
   void CancelRequest(const InstanceId& id);
   // Sets the number of requests that the other daemons have in flight at an endpoint.
@@ -171,6 +188,8 @@
   void AddToServiceIndex(const EndpointState& state);
   void RemoveFromServiceIndex(const EndpointState& state);
   void SetMeanServiceTime(EndpointState& state, double seconds);
+  // Notes the load that an endpoint reported. Returns false if it cannot be.
+  bool SetReportedLoad(EndpointState& state, const ReportedLoad& load, Instant now);
   // Adds the time that a request of this daemon took.
   void RecordServiceTime(EndpointState& state, double seconds, Instant now);
   // Adds times to the moving average, each with the weight.
@@ -180,6 +199,8 @@
   // Kept because entries of live endpoints may lapse and come back.
   std::map<InstanceId, RemovedEndpoint> removed_;
   std::map<ServiceName, ServiceIndex> services_;
+  // The endpoints whose reported counts are in use.
+  std::set<InstanceId> with_reported_counts_;
 };
 
 }  // namespace sycamorestall
--- a/src/core/endpoint_notice.h
+++ b/src/core/endpoint_notice.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/boot_clock.h"
+#include "core/reported_load.h"
 
 namespace sycamorestall {
 
@@ -15,6 +16,10 @@
   std::optional<Duration> pause{};
   // The text of a pause that could not be parsed; empty if there was none.
   std::string malformed_pause{};
+  // Its load; empty if it did not say.
+  std::optional<ReportedLoad> load{};
+  // The text of a load that could not be parsed; empty if there was none.
+  std::string malformed_load{};
 
   friend bool operator==(const EndpointNotice&, const EndpointNotice&) = default;
 };
@@ -23,6 +28,8 @@
 struct EndpointNoticeEffect {
   bool began_draining = false;
   bool began_pause = false;
+  // Whether the reported load was ignored, as it cannot be.
+  bool ignored_load = false;
 
   friend bool operator==(const EndpointNoticeEffect&, const EndpointNoticeEffect&) = default;
 };
--- a/src/core/owner_admission.cc
+++ b/src/core/owner_admission.cc
@@ -17,6 +17,19 @@
 // at half the weight.
 constexpr double kSamplesPerRate = 2.0;
 
+// While an endpoint is busy for seconds, a queue that is too long makes all its requests late, and
+// a shorter one costs nothing: the share of the time to the latency target that requests may take
+// falls from the maximum to the minimum. A short burst may fill the queue up to the target.
+constexpr double kMaxTargetShare = 0.95;
+constexpr double kMinTargetShare = 0.7;
+// The loads per slot between which it falls, and the time that they are averaged over.
+constexpr double kBusyFrom = 1.0;
+constexpr double kBusyUntil = 1.5;
+constexpr double kLoadAverageSeconds = 3.0;
+// Histories that are older than this are removed once there are more than so many.
+constexpr std::chrono::minutes kHistoryTimeToLive{1};
+constexpr std::size_t kCleanupThreshold = 1000;
+
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 // A rate that the true one probably exceeds.
@@ -32,18 +45,22 @@
 }  // namespace
 
 AdmissionDecision OwnerAdmission::Admit(const EndpointState& endpoint, double expected_latency_s,
-                                        const AdmissionRequest& request, Duration load_age,
-                                        Instant now) {
-  const AdmissionDecision decision = Decide(endpoint, expected_latency_s, request, load_age, now);
+                                        AdmissionRequest request, Duration load_age) {
+  if (histories_.size() > kCleanupThreshold) {
+    std::erase_if(histories_, [now = request.now](const auto& each) {
+      return now - each.second.averaged_at > kHistoryTimeToLive;
+    });
+  }
+  request.target_share = TargetShare(endpoint, request.now);
+  const AdmissionDecision decision = Decide(endpoint, expected_latency_s, request, load_age);
   if (decision.admitted) {
-    ++SentInPeriod(endpoint.entry.id, PeriodAt(now, load_age)).count;
+    ++HistoryInPeriod(endpoint.entry.id, PeriodAt(request.now, load_age)).sent;
   }
   return decision;
 }
 
 AdmissionDecision OwnerAdmission::Decide(const EndpointState& endpoint, double expected_latency_s,
-                                         const AdmissionRequest& request, Duration load_age,
-                                         Instant now) {
+                                         const AdmissionRequest& request, Duration load_age) {
   const auto daemons = static_cast<double>(std::max<std::size_t>(request.daemons, 1));
   const double service_time_s = expected_latency_s / endpoint.queueing_factor();
   if (daemons <= 1 || service_time_s <= 0) {
@@ -53,17 +70,19 @@
   const double room = AdmissionRoom(endpoint, service_time_s, request);
   const double finished = static_cast<double>(endpoint.entry.slots) * age_s / service_time_s;
   const double places = std::max(0.0, room - static_cast<double>(endpoint.load()) + finished);
-  const double arrivals = daemons * ProbableRate(endpoint.demand.PerSecond(now)) * age_s;
+  const double arrivals = daemons * ProbableRate(endpoint.demand.PerSecond(request.now)) * age_s;
   if (arrivals <= places) {
     return CheckAdmission(endpoint, expected_latency_s, request);
   }
-  const std::int64_t period = PeriodAt(now, load_age);
+  const std::int64_t period = PeriodAt(request.now, load_age);
   const std::uint32_t quota = QuotaInPeriod(endpoint.entry.id, places / daemons, period);
-  const bool in_time = service_time_s <= Seconds(request.time_left);
-  if (in_time && SentInPeriod(endpoint.entry.id, period).count < quota) {
-    return {};
+  if (service_time_s > Seconds(request.time_left)) {
+    return RefuseAdmission(endpoint, expected_latency_s, request, AdmissionRefusal::kTooLate);
+  }
+  if (HistoryInPeriod(endpoint.entry.id, period).sent >= quota) {
+    return RefuseAdmission(endpoint, expected_latency_s, request, AdmissionRefusal::kShareUsed);
   }
-  return RefuseAdmission(endpoint, expected_latency_s, request);
+  return {};
 }
 
 std::uint32_t OwnerAdmission::QuotaInPeriod(const InstanceId& endpoint, double share,
@@ -75,13 +94,26 @@
   return static_cast<std::uint32_t>(whole) + (turn < share - whole ? 1 : 0);
 }
 
-OwnerAdmission::Sent& OwnerAdmission::SentInPeriod(const InstanceId& endpoint,
-                                                   std::int64_t period) {
-  Sent& sent = sent_[endpoint];
-  if (sent.period != period) {
-    sent = {period, 0};
+OwnerAdmission::History& OwnerAdmission::HistoryInPeriod(const InstanceId& endpoint,
+                                                         std::int64_t period) {
+  History& history = histories_[endpoint];
+  if (history.period != period) {
+    history.period = period;
+    history.sent = 0;
   }
-  return sent;
+  return history;
+}
+
+double OwnerAdmission::TargetShare(const EndpointState& endpoint, Instant now) {
+  History& history = histories_[endpoint.entry.id];
+  const auto slots = static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
+  const double load_per_slot = static_cast<double>(endpoint.load()) / slots;
+  const double kept = std::exp(-Seconds(now - history.averaged_at) / kLoadAverageSeconds);
+  history.load_per_slot = load_per_slot + kept * (history.load_per_slot - load_per_slot);
+  history.averaged_at = now;
+  const double busy =
+      std::clamp((history.load_per_slot - kBusyFrom) / (kBusyUntil - kBusyFrom), 0.0, 1.0);
+  return kMaxTargetShare - busy * (kMaxTargetShare - kMinTargetShare);
 }
 
 }  // namespace sycamorestall
--- a/src/core/owner_admission.h
+++ b/src/core/owner_admission.h
@@ -20,24 +20,31 @@
   // Decides on a request, which counts as sent if it is admitted. load_age is how old the loads
   // that the other daemons reported may be.
   AdmissionDecision Admit(const EndpointState& endpoint, double expected_latency_s,
-                          const AdmissionRequest& request, Duration load_age, Instant now);
+                          AdmissionRequest request, Duration load_age);
 
  private:
-  // The requests sent to an endpoint in a period.
-  struct Sent {
+  // What this daemon did and saw at an endpoint.
+  struct History {
+    // The requests sent in a period.
     std::int64_t period = 0;
-    std::uint32_t count = 0;
+    std::uint32_t sent = 0;
+    // The average of the load per slot over the last seconds, as of a time.
+    double load_per_slot = 0;
+    Instant averaged_at;
   };
 
   AdmissionDecision Decide(const EndpointState& endpoint, double expected_latency_s,
-                           const AdmissionRequest& request, Duration load_age, Instant now);
+                           const AdmissionRequest& request, Duration load_age);
   // Returns how many requests this daemon may send in the period; whole numbers by turns.
   std::uint32_t QuotaInPeriod(const InstanceId& endpoint, double share, std::int64_t period) const;
-  // Returns what was sent to the endpoint in the period.
-  Sent& SentInPeriod(const InstanceId& endpoint, std::int64_t period);
+  // Returns the history of the endpoint, with the requests sent in the period.
+  History& HistoryInPeriod(const InstanceId& endpoint, std::int64_t period);
+  // Adds the load to the average of the endpoint, and returns the share of the time to the latency
+  // target that requests to it may take.
+  double TargetShare(const EndpointState& endpoint, Instant now);
 
   const InstanceId daemon_;
-  std::map<InstanceId, Sent> sent_;
+  std::map<InstanceId, History> histories_;
 };
 
 }  // namespace sycamorestall
--- a/src/core/slowdown_estimate.cc
+++ b/src/core/slowdown_estimate.cc
@@ -14,7 +14,7 @@
 constexpr double kUsualFactor = 2;
 // An estimate without new evidence loses two thirds in this time. An endpoint that gets no requests
 // as it seems slow would never show that it is fast again.
-constexpr double kDecaySeconds = 1.5;
+constexpr double kDecaySeconds = 0.7;
 
 }  // namespace
 
--- a/src/router/request_relay.cc
+++ b/src/router/request_relay.cc
@@ -160,7 +160,8 @@
       CheckAdmission(*endpoint, choice->expected_latency_s, BuildAdmissionRequest(*endpoint, now));
   NoteDecisionInputs(*endpoint, choice->expected_latency_s, now);
   if (!decision.admitted) {
-    AnswerFailure("endpoints full", decision.retry_after, now);
+    AnswerFailure(std::string{"endpoints "} + ToString(decision.refusal), decision.retry_after,
+                  now);
     return;
   }
   Send(*endpoint, now);
@@ -188,6 +189,7 @@
   request.time_left = TimeLeft(now);
   request.target_left = TargetLeft(now);
   request.priority = route_->priority;
+  request.now = now;
   request.random = std::uniform_real_distribution<double>{}(context_.random);
   if (routed_by_key_) {
     request.daemons = context_.daemon_count;
@@ -225,10 +227,10 @@
   const double expected_latency_s =
       ExpectedLatencySeconds(*endpoint, context_.fleet.MeanServiceTimeSeconds(service_), now);
   const AdmissionDecision decision = context_.owner_admission.Admit(
-      *endpoint, expected_latency_s, BuildAdmissionRequest(*endpoint, now), context_.load_age, now);
+      *endpoint, expected_latency_s, BuildAdmissionRequest(*endpoint, now), context_.load_age);
   NoteDecisionInputs(*endpoint, expected_latency_s, now);
   if (!decision.admitted) {
-    AnswerFailure("owner full", decision.retry_after, now);
+    AnswerFailure(std::string{"owner "} + ToString(decision.refusal), decision.retry_after, now);
     return;
   }
   Send(*endpoint, now);
@@ -388,6 +390,9 @@
 
 void RequestRelay::HandleNotRun(bool may_retry_owner, Instant now) {
   FinishAttempt(AttemptResult::kDeclined, now);
+  if (may_retry_owner) {
+    context_.fleet.RecordRefusal(endpoint_, queueing_factor_when_sent_, now);
+  }
   const bool retrying =
       may_retry_owner && OwnerMayTakeAnother(now) && ScheduleOwnerRetry(true, now);
   if (!retrying && !RetryOtherEndpoint(true, now)) {
