Use the load that endpoints report in their answers

Cause: some services say in each answer how many requests they run and queue and how slow they are at present; the daemons did not read it.

Change: the platform's notice format parses the report. Counts replace those of the other daemons until they are as old as these are on average, half a gossip interval. Reports that cannot be are ignored, counted and logged once per endpoint.

--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -188,6 +188,7 @@
                       static_cast<double>(each.unanswered));
   }
   metrics_.SetGauge("connections_opened_total", static_cast<double>(pool_.opened_connections()));
+  metrics_.SetGauge("reported_load_age_seconds", fleet_.ReportedLoadAgeSeconds(BootNow()));
   metrics_.SetGauge("daemons_known", static_cast<double>(relay_context_.daemon_count));
   metrics_.SetGauge("endpoints_listed", static_cast<double>(fleet_.all().size()));
   metrics_.SetGauge("caller_connections",
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -195,6 +195,8 @@
   std::map<InstanceId, PeerState> peer_states_;
   // The last registered address of each daemon.
   std::map<InstanceId, NetworkAddress> peer_addresses_;
+  // Endpoints that reported a load which cannot be; each is logged once.
+  std::set<InstanceId> endpoints_with_ignored_load_;
   std::vector<NotOwnerReport> not_owner_reports_;
   Instant last_tick_at_;
   Instant next_gossip_at_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -45,6 +45,8 @@
   std::map<InstanceId, NetworkAddress> peers = CurrentPeers(now);
   relay_context_.daemon_count = peers.size() + 1;
   relay_context_.load_age = Schedule().gossip_interval;
+  // The loads that the other daemons reported are half an interval old on average.
+  fleet_.DropReportedCounts(now - relay_context_.load_age / 2);
   transport_.SetPeers(std::move(peers));
   SendAnnouncements(now);
   SendToLeaders(now);
@@ -152,6 +154,12 @@
     log_.Info("endpoint pauses id=" + endpoint.value() +
               " ms=" + FormatMilliseconds(*notice.pause));
   }
+  if (effect.ignored_load) {
+    metrics_.IncrementCounter("reported_load_ignored_total");
+    if (endpoints_with_ignored_load_.insert(endpoint).second) {
+      log_.Warning("reported load of an endpoint ignored id=" + endpoint.value());
+    }
+  }
   if (!notice.malformed_pause.empty()) {
     log_.Warning("malformed pause of an endpoint ignored id=" + endpoint.value());
   }
--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -237,3 +237,35 @@
     CHECK_FALSE(notice.draining);
   }
 }
+
+// Guards against loads of an endpoint that were never meant, such as a negative one read as a large
+// one.
+TEST_CASE("a reported load is parsed, and ignored if it is malformed") {
+  struct Row {
+    std::string value;
+    std::optional<ReportedLoad> load;
+  };
+  const std::optional<ReportedLoad> none;
+  const Row rows[] = {{"3,0,8", ReportedLoad{3, 0, 8, std::nullopt}},
+                      {"3, 12, 8, 250", ReportedLoad{3, 12, 8, 250}},
+                      {"3,0,8,100,7", ReportedLoad{3, 0, 8, 100}},
+                      {"999999,0,999999", ReportedLoad{999'999, 0, 999'999, std::nullopt}},
+                      {"3,0", none},
+                      {"3,,8", none},
+                      {"-1,0,8", none},
+                      {"3,0,1000000", none},
+                      {"3,0,8,0", none},
+                      {"3,0,8,-5", none},
+                      {"3,0,8.5", none},
+                      {"3;0;8", none},
+                      {"many", none}};
+  for (const Row& row : rows) {
+    CAPTURE(row.value);
+    HttpAnswer answer;
+    answer.result(200);
+    answer.set("X-Server-Load", row.value);
+    const EndpointNotice notice = platform::ParseEndpointNotice(answer);
+    CHECK(notice.load == row.load);
+    CHECK(notice.malformed_load == (row.load ? "" : row.value));
+  }
+}
