Let shares of contended owners follow the callers of each daemon

Cause: callers of a key may use few of the daemons.

Change: a daemon's share is its part of the owner's load of the last seconds, drawn towards an equal part so that none is left without turns. The shares still add up to one.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -29,9 +29,10 @@
 constexpr double kMinShare = 2.0;
 
 // Returns how many requests this daemon may have in flight at the endpoint.
-std::size_t DaemonShare(double room, std::size_t daemons) {
+std::size_t DaemonShare(const EndpointState& endpoint, std::size_t daemons) {
+  const double capacity = kMaxQueueingFactor * static_cast<double>(endpoint.entry.slots);
   const double share =
-      kMaxShareMultiple * room / static_cast<double>(std::max<std::size_t>(daemons, 1));
+      kMaxShareMultiple * capacity / static_cast<double>(std::max<std::size_t>(daemons, 1));
   return static_cast<std::size_t>(std::max(kMinShare, share));
 }
 
@@ -101,7 +102,7 @@
     refusal = AdmissionRefusal::kTooLate;
   } else if (static_cast<double>(endpoint.load()) + 1 > room) {
     refusal = AdmissionRefusal::kFull;
-  } else if (endpoint.in_flight >= DaemonShare(room, request.daemons)) {
+  } else if (endpoint.in_flight >= DaemonShare(endpoint, request.daemons)) {
     refusal = AdmissionRefusal::kShareUsed;
   } else {
     return {};
--- a/src/core/owner_admission.cc
+++ b/src/core/owner_admission.cc
@@ -26,6 +26,10 @@
 constexpr double kBusyFrom = 1.0;
 constexpr double kBusyUntil = 1.5;
 constexpr double kLoadAverageSeconds = 3.0;
+// Callers are spread unevenly over the daemons, so a daemon's share is its part of the load of the
+// last seconds. An equal share counts as if it came from so many requests per slot; the parts of
+// all daemons still add up to one.
+constexpr double kEqualLoadPerSlot = 1.5;
 // Histories that are older than this are removed once there are more than so many.
 constexpr std::chrono::minutes kHistoryTimeToLive{1};
 constexpr std::size_t kCleanupThreshold = 1000;
@@ -51,7 +55,8 @@
       return now - each.second.averaged_at > kHistoryTimeToLive;
     });
   }
-  request.target_share = TargetShare(endpoint, request.now);
+  AverageLoad(endpoint, request.now);
+  request.target_share = TargetShare(endpoint.entry.id);
   const AdmissionDecision decision = Decide(endpoint, expected_latency_s, request, load_age);
   if (decision.admitted) {
     ++HistoryInPeriod(endpoint.entry.id, PeriodAt(request.now, load_age)).sent;
@@ -70,12 +75,13 @@
   const double room = AdmissionRoom(endpoint, service_time_s, request);
   const double finished = static_cast<double>(endpoint.entry.slots) * age_s / service_time_s;
   const double places = std::max(0.0, room - static_cast<double>(endpoint.load()) + finished);
-  const double arrivals = daemons * ProbableRate(endpoint.demand.PerSecond(request.now)) * age_s;
+  const double share = DemandShare(endpoint.entry.id, daemons);
+  const double arrivals = ProbableRate(endpoint.demand.PerSecond(request.now)) * age_s / share;
   if (arrivals <= places) {
     return CheckAdmission(endpoint, expected_latency_s, request);
   }
   const std::int64_t period = PeriodAt(request.now, load_age);
-  const std::uint32_t quota = QuotaInPeriod(endpoint.entry.id, places / daemons, period);
+  const std::uint32_t quota = QuotaInPeriod(endpoint.entry.id, places * share, period);
   if (service_time_s > Seconds(request.time_left)) {
     return RefuseAdmission(endpoint, expected_latency_s, request, AdmissionRefusal::kTooLate);
   }
@@ -104,16 +110,29 @@
   return history;
 }
 
-double OwnerAdmission::TargetShare(const EndpointState& endpoint, Instant now) {
+void OwnerAdmission::AverageLoad(const EndpointState& endpoint, Instant now) {
   History& history = histories_[endpoint.entry.id];
   const auto slots = static_cast<double>(std::max<std::size_t>(endpoint.entry.slots, 1));
-  const double load_per_slot = static_cast<double>(endpoint.load()) / slots;
   const double kept = std::exp(-Seconds(now - history.averaged_at) / kLoadAverageSeconds);
-  history.load_per_slot = load_per_slot + kept * (history.load_per_slot - load_per_slot);
+  const auto average = [&](double& mean, std::size_t requests) {
+    const double per_slot = static_cast<double>(requests) / slots;
+    mean = per_slot + kept * (mean - per_slot);
+  };
+  average(history.load_per_slot, endpoint.load());
+  average(history.own_load_per_slot, endpoint.in_flight);
   history.averaged_at = now;
-  const double busy =
-      std::clamp((history.load_per_slot - kBusyFrom) / (kBusyUntil - kBusyFrom), 0.0, 1.0);
+}
+
+double OwnerAdmission::TargetShare(const InstanceId& endpoint) {
+  const double busy = std::clamp(
+      (histories_[endpoint].load_per_slot - kBusyFrom) / (kBusyUntil - kBusyFrom), 0.0, 1.0);
   return kMaxTargetShare - busy * (kMaxTargetShare - kMinTargetShare);
 }
 
+double OwnerAdmission::DemandShare(const InstanceId& endpoint, double daemons) {
+  const History& history = histories_[endpoint];
+  return (history.own_load_per_slot + kEqualLoadPerSlot / daemons) /
+         (std::max(history.load_per_slot, history.own_load_per_slot) + kEqualLoadPerSlot);
+}
+
 }  // namespace sycamorestall
--- a/tests/core/owner_admission_test.cc
+++ b/tests/core/owner_admission_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <queue>
 #include <string>
 
 using namespace sycamorestall;  // NOLINT
@@ -35,9 +37,13 @@
 // Guards against daemons that together send a contended owner more than it finishes, and against
 // shares below one request that never fall due, at some daemon or at all.
 TEST_CASE("all daemons together send a contended owner what it finishes, each in its turn") {
-  // Enough for 10 turns of each of 300 daemons.
-  constexpr int kPeriods = 800;
+  // Enough for 30 equal turns of each of 300 daemons.
+  constexpr int kPeriods = 2400;
   constexpr double kServiceTimeSeconds = 0.4;
+  // What the latency target allows while the owner is busy, 0.7 * 1.5 s / 0.4 s a slot, and how
+  // long a request is there then.
+  constexpr std::size_t kLoad = 15;
+  constexpr Duration kTimeThere = milliseconds{1000};
   for (const std::size_t daemons : {5, 34, 93, 300}) {
     CAPTURE(daemons);
     const Duration age = milliseconds{260};
@@ -45,17 +51,27 @@
     int least = kPeriods;
     for (std::size_t i = 0; i < daemons; ++i) {
       OwnerAdmission admission{InstanceId{"d" + std::to_string(i)}};
-      // The owner has what its latency target allows while it is busy: 0.7 * 1.5 s / 0.4 s a slot.
-      EndpointFleet fleet = MakeFleet(15, Instant{});
+      EndpointFleet fleet = MakeFleet(kLoad, Instant{});
+      std::queue<Instant> own_sent;
       int own = 0;
       // Requests come evenly, and so many that each daemon notices.
-      for (Instant now{}; now < Instant{} + kPeriods * age; now += milliseconds{40}) {
+      for (Instant now{}; now < Instant{} + kPeriods * age; now += milliseconds{80}) {
+        while (!own_sent.empty() && now - own_sent.front() >= kTimeThere) {
+          own_sent.pop();
+          fleet.CancelRequest(kOwner);
+        }
+        // The other daemons have the rest of the load.
+        fleet.SetPeersInFlight(kOwner, kLoad - std::min(kLoad, own_sent.size()));
         fleet.CountDemand(kOwner, now);
         AdmissionRequest request = MakeRequest(now);
         request.daemons = daemons;
         const EndpointState& owner = *fleet.Find(kOwner);
         const double expected_s = kServiceTimeSeconds * owner.queueing_factor();
-        own += admission.Admit(owner, expected_s, request, age).admitted ? 1 : 0;
+        if (admission.Admit(owner, expected_s, request, age).admitted) {
+          ++own;
+          own_sent.push(now);
+          fleet.BeginRequest(kOwner);
+        }
       }
       sent += own;
       least = std::min(least, own);
--- a/tests/core/scarcity_simulation_test.cc
+++ b/tests/core/scarcity_simulation_test.cc
@@ -42,6 +42,8 @@
   bool has_slow_periods = true;
   // From 8 s to 12 s all endpoints are so many times slower.
   double slowdown = 1;
+  // Callers use only the first of so many daemons.
+  std::size_t daemons_per_used = 1;
 };
 
 struct ScarcityResult {
@@ -61,7 +63,8 @@
 
   std::string ToString() const {
     const auto share = [this](double count) {
-      return std::to_string(std::lround(1000 * count / callers) / 10.0).substr(0, 4);
+      const auto per_mille = static_cast<double>(std::lround(1000 * count / callers));
+      return std::to_string(per_mille / 10).substr(0, 4);
     };
     return "in time " + share(in_time) + " late " + share(late) + " refused " + share(refused) +
            " unanswered " + share(unanswered);
@@ -205,7 +208,8 @@
   }
 
   void Ask(const std::shared_ptr<Call>& call, int retries) {
-    call->daemon = random_() % fleets_.size();
+    const std::size_t used = fleets_.size() / scarcity_.daemons_per_used;
+    call->daemon = random_() % std::max<std::size_t>(1, used);
     call->asked_at = now_;
     EndpointFleet& fleet = fleets_[call->daemon];
     const InstanceId id{"e" + std::to_string(call->endpoint)};
@@ -319,6 +323,7 @@
                         {"hot keys, steady speed", {daemons, 4, 20, 0.5, false, 1}},
                         {"three times too many", {daemons, 4, 3, 0.5, true, 1}},
                         {"a fifth too many", {daemons, 8, 1.2, 0.7, true, 1}},
+                        {"a fifth too many at few daemons", {daemons, 8, 1.2, 0.7, true, 1, 4}},
                         {"five times slower for 4 s", {daemons, 8, 0.7, 0.7, true, 5}},
                         {"enough for all", {daemons, 8, 0.7, 0.7, false, 1}},
                         {"enough for all, slow periods", {daemons, 8, 0.7, 0.7, true, 1}}};
