--- a/tests/core/scarcity_simulation_test.cc
+++ b/tests/core/scarcity_simulation_test.cc
@@ -309,6 +309,26 @@
   ScarcityResult result_;
 };
 
+// Compares what callers get with shares of owners and without, over some seeds.
+void CheckShares(const std::string& name, const Scarcity& load) {
+  CAPTURE(name);
+  CAPTURE(load.daemons);
+  ScarcityResult before;
+  ScarcityResult after;
+  for (const unsigned seed : {5U, 6U, 7U}) {
+    before.Add(ScarcitySimulation{load, false, seed}.Run());
+    after.Add(ScarcitySimulation{load, true, seed}.Run());
+  }
+  MESSAGE(name << ", " << load.daemons << " daemons: " << before.ToString() << " -> "
+               << after.ToString());
+  // A late answer is worth about a tenth of one in time.
+  CHECK(after.in_time + 0.1 * after.late >= 0.98 * (before.in_time + 0.1 * before.late));
+  CHECK(after.unanswered <= before.unanswered + 0.001 * after.callers);
+  if (load.demand < 1 && !load.has_slow_periods) {
+    CHECK(after.in_time >= 0.999 * after.callers);
+  }
+}
+
 }  // namespace
 
 // Guards against daemons that together send an owner more than it can queue, each unaware of the
@@ -328,22 +348,15 @@
                         {"enough for all", {daemons, 8, 0.7, 0.7, false, 1}},
                         {"enough for all, slow periods", {daemons, 8, 0.7, 0.7, true, 1}}};
     for (const Row& row : rows) {
-      CAPTURE(row.name);
-      CAPTURE(daemons);
-      ScarcityResult before;
-      ScarcityResult after;
-      for (const unsigned seed : {5U, 6U, 7U}) {
-        before.Add(ScarcitySimulation{row.load, false, seed}.Run());
-        after.Add(ScarcitySimulation{row.load, true, seed}.Run());
-      }
-      MESSAGE(row.name << ", " << daemons << " daemons: " << before.ToString() << " -> "
-                       << after.ToString());
-      // A late answer is worth about a tenth of one in time.
-      CHECK(after.in_time + 0.1 * after.late >= 0.98 * (before.in_time + 0.1 * before.late));
-      CHECK(after.unanswered <= before.unanswered + 0.001 * after.callers);
-      if (row.load.demand < 1 && !row.load.has_slow_periods) {
-        CHECK(after.in_time >= 0.999 * after.callers);
-      }
+      CheckShares(row.name, row.load);
     }
   }
 }
+
+// Guards against owners that are filled beyond their places where all callers use a fourth of the
+// daemons, so that equal shares do not fit.
+TEST_CASE("daemons share owners whose callers use a fourth of the daemons") {
+  for (const std::size_t daemons : {5, 34, 93, 300}) {
+    CheckShares("enough for all, slow periods", {daemons, 8, 0.7, 0.7, true, 1, 4});
+  }
+}
