Pass on no answer whose status ends no request

What callers saw: an endpoint's answer with status 000 reached the caller as the answer; so did 100, 101, 199, 600 and 999. A caller of the own interface got them too, and a change that the store answered with 000 counted as refused, so as not made.

Cause: the parser takes any three digits for a status, and nobody checked its class afterwards. A status below 500 then counted as a request that was run.

Why this works: the connection checks the head as soon as it is parsed, before anyone sees the answer, and fails the call if the status is not from 200 to 599. All answers of endpoints (requests and orders), of the store and to the own tools come over this connection. Such a call may have run: a request that may not be repeated ends with 502, a commit has no known outcome.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "clock/system_clock.h"
+#include "net/answer_head.h"
 #include "net/socket_options.h"
 
 namespace sycamorestall {
@@ -246,9 +247,11 @@
 bool HttpConnection::ParseBytes() {
   beast::error_code error;
   while (buffer_.size() > 0 && !parser_->is_done()) {
+    const bool head_was_parsed = parser_->is_header_done();
     const std::size_t parsed_bytes = parser_->put(buffer_.data(), error);
     buffer_.consume(parsed_bytes);
-    parser_->eager(parser_->is_header_done());
+    const bool head_is_parsed = parser_->is_header_done();
+    parser_->eager(head_is_parsed);
     if (error == http::error::body_limit || IsAnswerTooLarge()) {
       FailCall(CallOutcome::kTooLarge, "answer too large");
       return false;
@@ -257,6 +260,9 @@
       FailCall(CallOutcome::kBroken, error.message());
       return false;
     }
+    if (head_is_parsed && !head_was_parsed && !CheckHead()) {
+      return false;
+    }
     if (error || parsed_bytes == 0) {
       break;
     }
@@ -264,6 +270,14 @@
   return true;
 }
 
+bool HttpConnection::CheckHead() {
+  const std::optional<HeadFault> fault = FindHeadFault(parser_->get());
+  if (fault) {
+    FailCall(CallOutcome::kBroken, ToString(*fault));
+  }
+  return !fault;
+}
+
 bool HttpConnection::ParseEndOfStream() {
   if (!answer_began_at_) {
     FailEndedCall(asio::error::eof, "closed unanswered");
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <thread>
 
+#include "fakes/scripted_server.h"
 #include "http/client_error.h"
 
 using boost::asio::ip::tcp;
@@ -117,3 +118,19 @@
   CHECK(result.error == sycamorestall::http::ClientError::kNotConnected);
   CHECK(!result.perhaps_sent);
 }
+
+TEST_CASE("an answer with a status that is no final one is no answer") {
+  for (const std::string status : {"000", "100", "600"}) {
+    CAPTURE(status);
+    sycamorestall::fakes::ScriptedServer server{
+        sycamorestall::fakes::Script{"HTTP/1.1 " + status + " Reason\r\nEndpoint-Outcome: run\r\n" +
+                                         "Content-Length: 2\r\n\r\nok",
+                                     sycamorestall::fakes::ScriptEnd::kClose}};
+    sycamorestall::http::HttpClient client{sycamorestall::http::ClientSettings{}};
+    Call call;
+    call.url = "http://127.0.0.1:" + std::to_string(server.address().port) + "/";
+    const CallResult result = SendRequest(client, call);
+    CHECK(result.error == sycamorestall::http::ClientError::kBroken);
+    CHECK(result.perhaps_sent);
+  }
+}
--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -12,6 +12,7 @@
 #include "clock/system_clock.h"
 #include "fakes/fault_proxy.h"
 #include "fakes/key_value_store.h"
+#include "fakes/scripted_server.h"
 
 using namespace sycamorestall;            // NOLINT
 using namespace sycamorestall::platform;  // NOLINT
@@ -183,3 +184,14 @@
   CHECK(run_until([&] { return ends.size() == 1; }));
   CHECK(ends == std::vector{std::error_code{}});
 }
+
+TEST_CASE("an answer that is not valid HTTP does not say that a change was refused") {
+  ClientSetup setup;
+  fakes::ScriptedServer server{
+      fakes::Script{"HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\n{}"}};
+  KvStore client{setup.pool, server.address()};
+  const Outcome<Revision> outcome = setup.Wait<Revision>([&client](auto callback) {
+    client.Commit({{}, {{"key", "value", {}}}, {}}, callback);
+  });
+  CHECK(outcome.error == StoreError::kNoAnswer);
+}
--- /dev/null
+++ b/tests/router/broken_answer_test.cc
@@ -0,0 +1,61 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "fakes/scripted_server.h"
+#include "router/router_deployment.h"
+
+using namespace sycamorestall::testing;  // NOLINT
+using sycamorestall::fakes::Script;
+using sycamorestall::fakes::ScriptedServer;
+using sycamorestall::fakes::ScriptEnd;  // NOLINT
+
+namespace {
+
+constexpr std::chrono::milliseconds kPause{1};
+constexpr int kMaxTries = 3000;
+constexpr char kFields[] = "X-Request-Id: @ID@\r\nX-Server-Stamp: stamp\r\n";
+constexpr char kBody[] = "Content-Length: 4\r\n\r\nbody";
+
+// Sends a request that may run only once, with the body, until one reaches the endpoint, and
+// returns the answer to the caller. Before that, the daemon does not know the endpoint yet.
+CallerAnswer AnswerOfEndpoint(const Script& script, const std::string& body = {}) {
+  constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 20;
+  ScriptedServer endpoint{script};
+  RouterDeployment deployment{1, 1, 0};
+  deployment.SetMaxBodyBytes(kMaxBodyBytes);
+  deployment.WriteConfig(2);
+  deployment.RegisterPumpAt("broken", endpoint.address());
+  REQUIRE(deployment.WaitUntilServed());
+  CallerAnswer answer;
+  for (int tries = 0; endpoint.requests() == 0 && tries < kMaxTries; ++tries) {
+    answer = deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST", .body = body});
+    std::this_thread::sleep_for(kPause);
+  }
+  CHECK(endpoint.requests() == 1);
+  return answer;
+}
+
+}  // namespace
+
+TEST_CASE("an answer with a status that is no final one is not passed on") {
+  struct Row {
+    std::string name;
+    std::string status;
+    int caller_status;
+  };
+  const Row rows[] = {{"zero", "000", 502},          {"below all classes", "099", 502},
+                      {"interim", "100", 502},       {"switch of protocols", "101", 502},
+                      {"last interim", "199", 502},  {"first final", "200", 200},
+                      {"last final", "599", 599},    {"above all classes", "600", 502},
+                      {"highest number", "999", 502}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const Script script{"HTTP/1.1 " + row.status + " Reason\r\n" + kFields + kBody,
+                        ScriptEnd::kClose};
+    // The request may have run, which 503 would deny.
+    CHECK(AnswerOfEndpoint(script).status == row.caller_status);
+  }
+}
