Refuse an answer whose body is in a transfer coding other than chunks

What callers saw: if an endpoint's answer named another transfer coding (gzip, several, or a misspelt one), the caller got status 200 with a body that was still in that coding, or with the chunk sizes in it, and without the field that would have told so. No report named this; it was found while every place that reads answers was checked.

Cause: the parser takes chunks off if they are the last coding, and ignores all others. The field is not passed on, as it concerns only one connection.

Evidence, on the code before: build/router_tests "-tc=an answer with a body in an unknown*" gets 200 in 7 of 9 rows; build/net_tests "-tc=only complete answers*" accepts the row "unknown transfer coding".

Why this works: the check of the head fails the call as broken unless each Transfer-Encoding field names chunks alone. A daemon asks for no other coding, so an endpoint has no reason to use one.

--- a/src/net/answer_head.cc
+++ b/src/net/answer_head.cc
@@ -1,5 +1,9 @@
 #include "net/answer_head.h"
 
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+
 namespace sycamorestall {
 
 namespace {
@@ -7,6 +11,7 @@
 // The status codes that end a request (RFC 9110, section 15).
 constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMaxFinalStatus = 599;
+constexpr boost::beast::string_view kChunked = "chunked";
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
@@ -14,6 +19,14 @@
   return status >= kMinFinalStatus && status <= kMaxFinalStatus;
 }
 
+// Whether every transfer coding that is named is the one that the parser takes off. The parser
+// ignores any other.
+bool HasKnownTransferCoding(const HttpAnswer& head) {
+  const auto [begin, end] = head.equal_range(boost::beast::http::field::transfer_encoding);
+  return std::all_of(
+      begin, end, [](const auto& field) { return boost::beast::iequals(field.value(), kChunked); });
+}
+
 }  // namespace
 
 const char* ToString(HeadFault fault) {
@@ -22,6 +35,8 @@
       return "line of the head continued";
     case HeadFault::kNoFinalStatus:
       return "status is no final one";
+    case HeadFault::kUnknownTransferCoding:
+      return "unknown transfer coding";
   }
   return "unknown";
 }
@@ -30,6 +45,9 @@
   if (!IsFinalStatus(head.result_int())) {
     return HeadFault::kNoFinalStatus;
   }
+  if (!HasKnownTransferCoding(head)) {
+    return HeadFault::kUnknownTransferCoding;
+  }
   return std::nullopt;
 }
 
--- a/src/net/answer_head.h
+++ b/src/net/answer_head.h
@@ -13,6 +13,8 @@
   kContinuedLine,
   // The status is not one that ends a request: it is interim or of no class at all.
   kNoFinalStatus,
+  // The body is in a transfer coding other than chunks, so the received bytes are not the body.
+  kUnknownTransferCoding,
 };
 
 // Describes the fault, for the log.
--- a/tests/net/http_connection_test.cc
+++ b/tests/net/http_connection_test.cc
@@ -192,6 +192,10 @@
        {"HTTP/1.1 100 Continue\r\n\r\n", ScriptEnd::kClose},
        CallOutcome::kBroken,
        2},
+      {"unknown transfer coding",
+       {head + "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi"},
+       CallOutcome::kBroken,
+       2},
       {"silence", {""}, CallOutcome::kTimedOut, 2},
   };
   for (const Row& row : rows) {
--- a/tests/router/broken_answer_test.cc
+++ b/tests/router/broken_answer_test.cc
@@ -95,3 +95,29 @@
     CHECK(AnswerOfEndpoint(script).status == 502);
   }
 }
+
+TEST_CASE("an answer with a body in an unknown transfer coding is not passed on") {
+  struct Row {
+    std::string name;
+    std::string codings;
+    int caller_status;
+  };
+  const Row rows[] = {
+      {"chunks", "Transfer-Encoding: chunked", 200},
+      {"chunks, in capitals", "transfer-encoding: CHUNKED", 200},
+      {"another coding", "Transfer-Encoding: gzip", 502},
+      {"another coding, with a length", "Transfer-Encoding: gzip\r\nContent-Length: 4", 502},
+      {"another coding in chunks", "Transfer-Encoding: gzip, chunked", 502},
+      {"another coding in chunks, on two lines",
+       "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", 502},
+      {"chunks in another coding", "Transfer-Encoding: chunked, gzip", 502},
+      {"a name like that of chunks", "Transfer-Encoding: xchunked", 502},
+      {"no name", "Transfer-Encoding:", 502}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const Script script{std::string{"HTTP/1.1 200 OK\r\n"} + kFields + row.codings +
+                            "\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                        ScriptEnd::kClose};
+    CHECK(AnswerOfEndpoint(script).status == row.caller_status);
+  }
+}
