Wait for the final answer behind an interim one

What callers saw: an endpoint's interim answer (status 102, with the id of the request) reached the caller as the answer; with status 103 and no id the caller got 502. The final answer behind it was lost either way. Found while every place that reads answers was checked.

Cause: to the parser an interim answer is a whole message, and the connection took it for the one that it waited for. RFC 9110, section 15.2, asks a client to expect them before any final answer.

Why this works: the connection skips interim answers, at most 8 for a call, and goes on reading; everything that holds for an answer's head and size holds for each of them. A switch of protocols (101) still fails the call. A connection that has brought one does not count as stale when it ends.

--- a/src/net/answer_head.cc
+++ b/src/net/answer_head.cc
@@ -8,15 +8,17 @@
 
 namespace {
 
-// The status codes that end a request (RFC 9110, section 15).
+// The classes of status codes (RFC 9110, section 15).
+constexpr unsigned kMinInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMaxFinalStatus = 599;
 constexpr boost::beast::string_view kChunked = "chunked";
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
-bool IsFinalStatus(unsigned status) {
-  return status >= kMinFinalStatus && status <= kMaxFinalStatus;
+bool IsValidStatus(unsigned status) {
+  return status >= kMinInterimStatus && status <= kMaxFinalStatus && status != kSwitchingProtocols;
 }
 
 // Whether every transfer coding that is named is the one that the parser takes off. The parser
@@ -33,8 +35,8 @@
   switch (fault) {
     case HeadFault::kContinuedLine:
       return "line of the head continued";
-    case HeadFault::kNoFinalStatus:
-      return "status is no final one";
+    case HeadFault::kInvalidStatus:
+      return "status not valid";
     case HeadFault::kUnknownTransferCoding:
       return "unknown transfer coding";
   }
@@ -42,8 +44,8 @@
 }
 
 std::optional<HeadFault> FindHeadFault(const HttpAnswer& head) {
-  if (!IsFinalStatus(head.result_int())) {
-    return HeadFault::kNoFinalStatus;
+  if (!IsValidStatus(head.result_int())) {
+    return HeadFault::kInvalidStatus;
   }
   if (!HasKnownTransferCoding(head)) {
     return HeadFault::kUnknownTransferCoding;
@@ -51,6 +53,8 @@
   return std::nullopt;
 }
 
+bool IsInterim(const HttpAnswer& head) { return head.result_int() < kMinFinalStatus; }
+
 bool HasContinuedLine(std::string_view bytes) {
   // The empty line that ends the head.
   if (bytes.starts_with(kLineEnd)) {
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -30,6 +30,7 @@
 constexpr std::uint64_t kMaxOverheadBytes = 64ULL * 1024;
 constexpr std::uint64_t kMaxOverheadPerBodyByte = 8;
 constexpr int kMaxSkippedAnswers = 4;
+constexpr int kMaxInterimAnswers = 8;
 
 std::optional<Duration> ParseIdleTimeout(const HttpAnswer& answer) {
   const auto header = answer.find(http::field::keep_alive);
@@ -65,6 +66,7 @@
   answer_began_at_.reset();
   received_bytes_ = 0;
   skipped_answers_ = 0;
+  interim_answers_ = 0;
   if (!call_.request_id.empty()) {
     carried_requests_.insert(call_.request_id);
   }
@@ -326,11 +328,14 @@
 }
 
 bool HttpConnection::IsStale() const {
-  return reused() && !answer_began_at_ && skipped_answers_ == 0;
+  const bool received_nothing = !answer_began_at_ && skipped_answers_ == 0 && interim_answers_ == 0;
+  return reused() && received_nothing;
 }
 
 void HttpConnection::HandleCompleteAnswer(bool end_of_stream) {
-  if (IsAnswerToCall()) {
+  if (IsInterim(parser_->get())) {
+    SkipInterimAnswer(end_of_stream);
+  } else if (IsAnswerToCall()) {
     FinishAnswer(end_of_stream);
   } else if (IsAnswerToEarlierCall()) {
     SkipAnswer();
@@ -350,8 +355,22 @@
          parser_->keep_alive() && !carried_head_request_;
 }
 
+void HttpConnection::SkipInterimAnswer(bool end_of_stream) {
+  ++interim_answers_;
+  if (interim_answers_ > kMaxInterimAnswers) {
+    FailCall(CallOutcome::kBroken, "too many interim answers");
+    return;
+  }
+  BeginNextAnswer();
+  HandleParsing(end_of_stream);
+}
+
 void HttpConnection::SkipAnswer() {
   ++skipped_answers_;
+  BeginNextAnswer();
+}
+
+void HttpConnection::BeginNextAnswer() {
   received_bytes_ = buffer_.size();
   memory_->Change(held_bytes_, buffer_.capacity());
   answer_began_at_.reset();
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -163,6 +163,10 @@
   // Whether the answer is a second one to an earlier request and the call's own may follow.
   bool IsAnswerToEarlierCall() const;
   void SkipAnswer();
+  // Goes on with what follows an interim answer, unless there were too many.
+  void SkipInterimAnswer(bool end_of_stream);
+  // Drops the parsed answer, as another one is expected.
+  void BeginNextAnswer();
   void RejectAnswer();
   void FinishAnswer(bool end_of_stream);
   std::uint64_t MaxBodyBytes() const;
@@ -203,6 +207,8 @@
   bool carried_head_request_ = false;
   // Answers to earlier requests that came during the running call.
   int skipped_answers_ = 0;
+  // Interim answers to the running call.
+  int interim_answers_ = 0;
   bool ended_by_peer_ = false;
   bool refused_ = false;
   Instant idle_since_;
--- a/tests/router/broken_answer_test.cc
+++ b/tests/router/broken_answer_test.cc
@@ -121,3 +121,15 @@
     CHECK(AnswerOfEndpoint(script).status == row.caller_status);
   }
 }
+
+TEST_CASE("the final answer behind interim ones is passed on") {
+  const std::string final_answer = std::string{"HTTP/1.1 200 OK\r\n"} + kFields + kBody;
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n";
+  const std::string interim_with_id = std::string{"HTTP/1.1 102 Processing\r\n"} + kFields + "\r\n";
+  for (const std::string& before : {interim, interim_with_id, interim + interim_with_id}) {
+    CAPTURE(before);
+    const CallerAnswer answer = AnswerOfEndpoint(Script{before + final_answer});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "body");
+  }
+}
