Name the deferred end of a stream for what it is

Cause: read as a newcomer, HandleEndAfterWrite did not say that it only waits for queued handlers. Change: DeferEndOfStream, with a plainer comment, and one on the failed write. No change of behaviour.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -221,13 +221,13 @@
   ExtendDeadline();
   const bool end_of_stream = error == asio::error::eof;
   if (end_of_stream && writing_) {
-    HandleEndAfterWrite();
+    DeferEndOfStream();
     return;
   }
   HandleParsing(end_of_stream);
 }
 
-void HttpConnection::HandleEndAfterWrite() {
+void HttpConnection::DeferEndOfStream() {
   reading_ = true;
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->reading_ = false;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -145,9 +145,9 @@
   void HandleSent();
   void Read();
   void HandleInput(const boost::beast::error_code& error, std::size_t size);
-  // Handles the end of the stream behind what the event loop has queued: that may be the failure of
-  // the write, which tells whether the connection was closed or reset.
-  void HandleEndAfterWrite();
+  // Handles the end of the stream when the event loop has run the handlers that are queued now. The
+  // failure of the write may be among them, which tells a reset from an ordinary close.
+  void DeferEndOfStream();
   void HandleParsing(bool end_of_stream);
   // Parses the received bytes up to the end of an answer. Returns false if the call failed.
   bool ParseBytes();
@@ -197,6 +197,7 @@
   // Whether a read is pending, or the end that it found is still to be handled.
   bool reading_ = false;
   bool writing_ = false;
+  // Whether the write ended with an error, which the read of the same connection may not see.
   bool write_failed_ = false;
   // When the first byte of the running call's answer arrived.
   std::optional<Instant> answer_began_at_;
