--- a/review/second/daemon.hpp
+++ b/review/second/daemon.hpp
@@ -219,20 +219,21 @@
 // A route of the configuration.
 inline nlohmann::json Route(const std::string& prefix, const std::string& kind,
                             const std::string& service, double timeout_s) {
-  return {{"name", service},   {"prefix", prefix},   {"kind", kind},     {"timeout_s", timeout_s},
-          {"aim_s", 0.4},      {"priority", 1},      {"service", service}, {"max_attempts", 2}};
+  return {{"name", service}, {"prefix", prefix}, {"kind", kind},       {"timeout_s", timeout_s},
+          {"aim_s", 0.4},    {"priority", 1},    {"service", service}, {"max_attempts", 2}};
 }
 
 inline std::string Config(int version, const nlohmann::json& services,
                           const nlohmann::json& routes) {
-  return nlohmann::json{{"version", version},
-                        {"services", services},
-                        {"limits",
-                         {{"max_header_bytes", 16384},
-                          {"max_body_bytes", 1048576},
-                          {"header_timeout_s", 3.0},
-                          {"idle_timeout_s", 15.0}}},
-                        {"hosts", nlohmann::json::array({{{"host", "h.example"}, {"paths", routes}}})}}
+  return nlohmann::json{
+      {"version", version},
+      {"services", services},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 1048576},
+        {"header_timeout_s", 3.0},
+        {"idle_timeout_s", 15.0}}},
+      {"hosts", nlohmann::json::array({{{"host", "h.example"}, {"paths", routes}}})}}
       .dump();
 }
 
--- a/review/second/evacuation_taken_back.cpp
+++ b/review/second/evacuation_taken_back.cpp
@@ -20,10 +20,9 @@
 // One request on a new connection; the status of its answer, or 0.
 int Ask(std::uint16_t port, const std::string& id, int key, int work_ms) {
   const auto connection = Connection::To(port);
-  if (!connection ||
-      !connection->Write(Request("GET", "/soil/" + std::to_string(key) +
-                                            "?work=" + std::to_string(work_ms),
-                                 id, kTimeoutMs, KeyHeader(key)))) {
+  if (!connection || !connection->Write(Request(
+                         "GET", "/soil/" + std::to_string(key) + "?work=" + std::to_string(work_ms),
+                         id, kTimeoutMs, KeyHeader(key)))) {
     return 0;
   }
   const auto answer = connection->Read(kTimeoutMs + 1000);
@@ -38,8 +37,9 @@
   json soil = Service("soil", true);
   soil["warmup_s"] = 3.0;
   soil["warmup_per_s"] = 4.0;
-  store.Put("op/config", Config(1, json::array({soil}),
-                                json::array({Route("/soil/", "safe", "soil", kTimeoutMs / 1000.0)})));
+  store.Put("op/config",
+            Config(1, json::array({soil}),
+                   json::array({Route("/soil/", "safe", "soil", kTimeoutMs / 1000.0)})));
   Target slow(store, record, ledger, {"i-1", "soil", "zone-a", true, 6});
   Target other(store, record, ledger, {"i-2", "soil", "zone-b", true, 6});
   Target third(store, record, ledger, {"i-3", "soil", "zone-b", true, 6});
--- a/review/second/foreign_entry.cpp
+++ b/review/second/foreign_entry.cpp
@@ -15,9 +15,9 @@
 
 void KeepForeignEntry(Store& store, const std::string& address, const std::atomic<bool>& stopping) {
   for (std::uint64_t sequence = 1; !stopping; ++sequence) {
-    const json entry{{"service", "site-monitor"}, {"address", address},    {"zone", "zone-a"},
-                     {"version", "v1"},           {"max_concurrency", 1},  {"state", "ready"},
-                     {"warmup_left_s", 0.0},      {"seq", sequence},       {"born", 1700000000000}};
+    const json entry{{"service", "site-monitor"}, {"address", address},   {"zone", "zone-a"},
+                     {"version", "v1"},           {"max_concurrency", 1}, {"state", "ready"},
+                     {"warmup_left_s", 0.0},      {"seq", sequence},      {"born", 1700000000000}};
     store.Put("servers/m-1", entry.dump());
     for (int waited = 0; waited < Store::kHeartbeatMs && !stopping; waited += 10) {
       SleepMs(10);
@@ -34,12 +34,14 @@
   Record record(folder + "/record.txt");
   Ledger ledger;
   Store store;
-  store.Put("op/config", Config(1, json::array({Service("soil", true)}),
-                                json::array({Route("/soil/", "safe", "soil", kTimeoutMs / 1000.0)})));
+  store.Put("op/config",
+            Config(1, json::array({Service("soil", true)}),
+                   json::array({Route("/soil/", "safe", "soil", kTimeoutMs / 1000.0)})));
   std::vector<std::unique_ptr<Target>> targets;
   for (int i = 1; i <= kTargets; ++i) {
     targets.push_back(std::make_unique<Target>(
-        store, record, ledger, Target::Options{"i-" + std::to_string(i), "soil", "zone-a", true, 6}));
+        store, record, ledger,
+        Target::Options{"i-" + std::to_string(i), "soil", "zone-a", true, 6}));
   }
   Daemon first("edge-1", store.port(), record);
   Daemon second("edge-2", store.port(), record, "zone-b");
@@ -57,8 +59,7 @@
   std::thread writer;
   if (has_entry) {
     record.Note("another writer keeps an entry of service site-monitor at the address of i-1");
-    writer = std::thread(
-        [&] { KeepForeignEntry(store, targets.front()->address(), stopping); });
+    writer = std::thread([&] { KeepForeignEntry(store, targets.front()->address(), stopping); });
   }
   SleepMs(2000);
   if (has_cut) {
--- a/review/second/http.hpp
+++ b/review/second/http.hpp
@@ -11,8 +11,8 @@
 
 #include <algorithm>
 #include <atomic>
-#include <chrono>
 #include <cerrno>
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <functional>
--- a/review/second/record.hpp
+++ b/review/second/record.hpp
@@ -13,12 +13,11 @@
 
 class Record {
  public:
-  explicit Record(const std::string& path) : file_(path, std::ios::trunc), began_at_(Clock::now()) {}
+  explicit Record(const std::string& path)
+      : file_(path, std::ios::trunc), began_at_(Clock::now()) {}
 
   // Seconds since the case began.
-  double Now() const {
-    return std::chrono::duration<double>(Clock::now() - began_at_).count();
-  }
+  double Now() const { return std::chrono::duration<double>(Clock::now() - began_at_).count(); }
   void Note(const std::string& line) {
     char time[32];
     std::snprintf(time, sizeof time, "%9.4f  ", Now());
--- a/review/second/slow_reader.cpp
+++ b/review/second/slow_reader.cpp
@@ -66,11 +66,10 @@
   Record record(folder + "/record.txt");
   Ledger ledger;
   Store store;
-  store.Put("op/config", Config(1, json::array({Service("photos", false)}),
-                                json::array({Route("/photos/", "safe", "photos",
-                                                   kTimeoutMs / 1000.0),
-                                             Route("/orders/", "unsafe", "photos",
-                                                   kTimeoutMs / 1000.0)})));
+  store.Put("op/config",
+            Config(1, json::array({Service("photos", false)}),
+                   json::array({Route("/photos/", "safe", "photos", kTimeoutMs / 1000.0),
+                                Route("/orders/", "unsafe", "photos", kTimeoutMs / 1000.0)})));
   Target target(store, record, ledger, {"i-1", "photos", "zone-a", false, 200});
   Daemon daemon("edge-1", store.port(), record);
   if (!daemon.WaitUntilReady()) {
@@ -79,8 +78,7 @@
   std::vector<Outcome> outcomes(kConsumers);
   std::vector<std::thread> consumers;
   for (int i = 0; i < kConsumers; ++i) {
-    consumers.emplace_back(
-        [&, i] { outcomes[i] = Consume(daemon.front(), i, trouble, record); });
+    consumers.emplace_back([&, i] { outcomes[i] = Consume(daemon.front(), i, trouble, record); });
   }
   for (std::thread& each : consumers) {
     each.join();
--- a/review/second/smuggled_request.cpp
+++ b/review/second/smuggled_request.cpp
@@ -14,9 +14,9 @@
   Record record(folder + "/record.txt");
   Ledger ledger;
   Store store;
-  store.Put("op/config", Config(1, json::array({Service("orders", false)}),
-                                json::array({Route("/orders/", "unsafe", "orders",
-                                                   kTimeoutMs / 1000.0)})));
+  store.Put("op/config",
+            Config(1, json::array({Service("orders", false)}),
+                   json::array({Route("/orders/", "unsafe", "orders", kTimeoutMs / 1000.0)})));
   Target target(store, record, ledger, {"i-1", "orders", "zone-a"});
   Daemon daemon("edge-1", store.port(), record);
   if (!daemon.WaitUntilReady()) {
@@ -24,10 +24,10 @@
   }
   const std::string body = Request("POST", "/orders/inner", "inner", kTimeoutMs, "", "water");
   const std::string outer =
-      trouble ? Request("POST", "/orders/outer", "outer", kTimeoutMs,
-                        "Transfer-Encoding: gzip\r\n") +
-                    body
-              : Request("POST", "/orders/outer", "outer", kTimeoutMs, "", body);
+      trouble
+          ? Request("POST", "/orders/outer", "outer", kTimeoutMs, "Transfer-Encoding: gzip\r\n") +
+                body
+          : Request("POST", "/orders/outer", "outer", kTimeoutMs, "", body);
   const auto consumer = Connection::To(daemon.front());
   if (!consumer || !consumer->Write(outer)) {
     return kCouldNotRun;
@@ -35,8 +35,8 @@
   record.Note("consumer sent one request, outer:\n" + outer);
   int answers = 0;
   for (; const auto answer = consumer->Read(kSettleMs); ++answers) {
-    record.Note("consumer gets " + answer->start + " X-Request-Id: " +
-                answer->Header("X-Request-Id"));
+    record.Note("consumer gets " + answer->start +
+                " X-Request-Id: " + answer->Header("X-Request-Id"));
   }
   record.Note("consumer got " + std::to_string(answers) + " answers to one request");
   bool asked = true;
--- a/review/second/store.hpp
+++ b/review/second/store.hpp
@@ -135,8 +135,8 @@
         const auto lease = leases_.find(item.lease);
         const bool lease_ended =
             item.lease != 0 && (lease == leases_.end() || now > lease->second.until);
-        const bool silent = key.starts_with("servers/") &&
-                            now - item.written_at > milliseconds{kMaxSilenceMs};
+        const bool silent =
+            key.starts_with("servers/") && now - item.written_at > milliseconds{kMaxSilenceMs};
         if (lease_ended || silent) {
           gone.push_back(key);
         }
--- a/review/second/target.hpp
+++ b/review/second/target.hpp
@@ -77,10 +77,14 @@
   };
 
   void Register() {
-    const json entry{{"service", options_.service},   {"address", address()},
-                     {"zone", options_.zone},         {"version", "v1"},
-                     {"max_concurrency", options_.slots}, {"state", state_},
-                     {"warmup_left_s", 0.0},          {"seq", ++sequence_},
+    const json entry{{"service", options_.service},
+                     {"address", address()},
+                     {"zone", options_.zone},
+                     {"version", "v1"},
+                     {"max_concurrency", options_.slots},
+                     {"state", state_},
+                     {"warmup_left_s", 0.0},
+                     {"seq", ++sequence_},
                      {"born", born_}};
     store_.Put("servers/" + id(), entry.dump());
   }
@@ -144,8 +148,8 @@
     const bool outdated = std::any_of(seen_fences_.begin() + first, seen_fences_.begin() + last + 1,
                                       [fence](std::uint64_t seen) { return seen > fence; });
     const double now = record_.Now();
-    record_.Note("target " + id() + (outdated ? " refuses" : " takes") + " grant keys=" +
-                 std::to_string(first) + "-" + std::to_string(last) +
+    record_.Note("target " + id() + (outdated ? " refuses" : " takes") +
+                 " grant keys=" + std::to_string(first) + "-" + std::to_string(last) +
                  " fence=" + std::to_string(fence) + " hold_s=" + std::to_string(hold_s));
     if (outdated) {
       return FormatAnswer(409, id_header, "{}");
@@ -193,7 +197,8 @@
              });
     });
     record_.Note("target " + id() + " answers the release keys=" + keys);
-    return FormatAnswer(200, id_header + "X-Handover: " + std::to_string(++handovers_) + "\r\n", "");
+    return FormatAnswer(200, id_header + "X-Handover: " + std::to_string(++handovers_) + "\r\n",
+                        "");
   }
 
   static int Query(const std::string& target, const std::string& name, int fallback) {
