--- a/review/second/evacuation_taken_back.cpp
+++ b/review/second/evacuation_taken_back.cpp
@@ -29,7 +29,7 @@
   return answer ? answer->Status() : 0;
 }
 
-int Attempt(Record& record, bool trouble, int number) {
+int Attempt(Record& record, bool evacuate, bool slow_work, int number) {
   const std::map<std::string, std::string> bounds{
       {"bounds.cold_over", "1.5"}, {"bounds.cold_slack", "8"}, {"bounds.evacuate_s", "5"}};
   Ledger ledger;
@@ -65,17 +65,17 @@
   for (const int key : keys) {
     consumers.emplace_back([&, key] {
       const std::string id = prefix + "-early-" + std::to_string(key);
-      const int status = Ask(first.front(), id, key, trouble ? kSlowWorkMs : kUsualWorkMs);
+      const int status = Ask(first.front(), id, key, slow_work ? kSlowWorkMs : kUsualWorkMs);
       record.Note("consumer of " + id + " gets " + std::to_string(status));
     });
   }
   SleepMs(200);
-  if (trouble) {
+  if (evacuate) {
     record.Note("operator writes op/evacuate/zone-a");
     store.Put("op/evacuate/zone-a", "{}");
   }
   SleepMs(kEvacuationMs);
-  if (trouble) {
+  if (evacuate) {
     record.Note("operator removes op/evacuate/zone-a");
     store.Remove("op/evacuate/zone-a");
   }
@@ -106,10 +106,14 @@
 
 int Play(const std::string& folder) {
   Record record(folder + "/record.txt");
-  const bool trouble = HasTrouble();
+  const char* trouble = getenv("TROUBLE");
+  // "evacuate" and "slow" play one of the two disruptions alone.
+  const std::string played = trouble == nullptr ? "1" : trouble;
+  const bool evacuate = played == "1" || played == "evacuate";
+  const bool slow_work = played == "1" || played == "slow";
   for (int i = 1; i <= kAttempts; ++i) {
     record.Note("attempt " + std::to_string(i));
-    const int result = Attempt(record, trouble, i);
+    const int result = Attempt(record, evacuate, slow_work, i);
     if (result != kHeld) {
       return result;
     }
