--- a/review/second/evacuation_taken_back.cpp
+++ b/review/6/evacuation_taken_back.cpp
@@ -1,8 +1,8 @@
 // A zone is emptied and taken back while a slow target there still works on requests. Looks for
 // keys that are given to another target while the slow one works on them and its hold has not
 // run out.
-#include "daemon.hpp"
-#include "target.hpp"
+#include "../case_daemon.hpp"
+#include "../stand_in_target.hpp"
 
 namespace review {
 namespace {
--- a/review/second/foreign_entry.cpp
+++ b/review/9/foreign_entry.cpp
@@ -1,8 +1,8 @@
 // Another writer's entry stands in the list of targets: its service is not named in the
 // configuration, and its address is that of a target. That target is partitioned from the store,
 // while requests and orders still reach it. Looks for keys that two targets hold at once.
-#include "daemon.hpp"
-#include "target.hpp"
+#include "../case_daemon.hpp"
+#include "../stand_in_target.hpp"
 
 namespace review {
 namespace {
--- a/review/second/daemon.hpp
+++ b/review/case_daemon.hpp
@@ -13,7 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "record.hpp"
+#include "case_record.hpp"
 
 namespace review {
 
--- a/review/second/record.hpp
+++ b/review/case_record.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "http.hpp"
+#include "stand_in_http.hpp"
 
 namespace review {
 
--- a/review/second/store.hpp
+++ b/review/stand_in_store.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "http.hpp"
+#include "stand_in_http.hpp"
 
 namespace review {
 
--- a/review/second/target.hpp
+++ b/review/stand_in_target.hpp
@@ -6,8 +6,8 @@
 #include <condition_variable>
 #include <map>
 
-#include "record.hpp"
-#include "store.hpp"
+#include "case_record.hpp"
+#include "stand_in_store.hpp"
 
 namespace review {
 
