Note what the cases send, and pick their ports below outgoing ones

Cause: three records named requests only when they ran, and a port that is free at one moment may be taken by an outgoing connection at the next.

Change: each request is noted when it is sent; ports are drawn from 10,240 to 32,000.

--- a/review/6/evacuation_taken_back.cpp
+++ b/review/6/evacuation_taken_back.cpp
@@ -65,6 +65,7 @@
   for (const int key : keys) {
     consumers.emplace_back([&, key] {
       const std::string id = prefix + "-early-" + std::to_string(key);
+      record.Note("consumer sends " + id + " to edge-1, key=" + std::to_string(key));
       const int status = Ask(first.front(), id, key, slow_work ? kSlowWorkMs : kUsualWorkMs);
       record.Note("consumer of " + id + " gets " + std::to_string(status));
     });
@@ -85,6 +86,7 @@
     for (const int key : keys) {
       consumers.emplace_back([&, key, round] {
         const std::string id = prefix + "-late" + std::to_string(round) + "-" + std::to_string(key);
+        record.Note("consumer sends " + id + " to edge-2, key=" + std::to_string(key));
         const int status = Ask(second.front(), id, key, kUsualWorkMs);
         record.Note("consumer of " + id + " gets " + std::to_string(status));
       });
--- a/review/9/foreign_entry.cpp
+++ b/review/9/foreign_entry.cpp
@@ -71,6 +71,7 @@
     SleepMs(kRequestIntervalMs);
     const auto connection = Connection::To(first.front());
     const std::string id = "r" + std::to_string(++number);
+    record.Note("consumer sends " + id + " to edge-1, key=" + std::to_string(kKeyOfFirst));
     if (connection &&
         connection->Write(Request("GET", "/soil/1", id, kTimeoutMs,
                                   "X-Shard-Key: " + std::to_string(kKeyOfFirst) + "\r\n"))) {
--- a/review/case_daemon.hpp
+++ b/review/case_daemon.hpp
@@ -11,23 +11,33 @@
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <sstream>
 
 #include "case_record.hpp"
 
 namespace review {
 
-// A port that is free now.
+// A port that is free now, below the range from which outgoing connections take theirs.
 inline std::uint16_t FreePort() {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(descriptor);
-  return ntohs(address.sin_port);
+  constexpr int kFirstPort = 10'240;
+  constexpr int kLastPort = 32'000;
+  std::random_device entropy_source;
+  std::uniform_int_distribution<int> pick_port{kFirstPort, kLastPort};
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(pick_port(entropy_source));
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool is_free =
+        bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(descriptor);
+    if (is_free) {
+      return port;
+    }
+  }
 }
 
 // Fills in a template: sections of fields that have a value are kept, others are dropped.
