Keep keys from others while their owner may still work on them

Cause: a release that is not answered in time makes a range wait until the owner's grants have run out. When the owner came back during that wait, the leader renewed its grant with the old token. The release had already shown the owner a higher one, so it refused, and the leader took the refusal for a proof that the owner holds nothing: it freed the keys for any endpoint at once. "409" only says that the token is too low.

Change: an owner that comes back after a release that it may have seen gets its keys again under a higher token, which is safe while it still works on them. A refused grant frees nothing: the range waits for the owner's return or the end of its grants. An acting leader, which cannot write a new token, stops renewing such a grant; it sent one per tick. Requests go to an owner that is back only after it has confirmed a grant.

--- a/src/core/key_leader.cc
+++ b/src/core/key_leader.cc
@@ -242,6 +242,7 @@
       state.in_pending_write = false;
       state.phase = RangePhase::kOwned;
       state.target.reset();
+      state.token_may_be_outdated = false;
       state.next_order_at = now;
       state.order_failures = 0;
       ResetGrantTimes(state);
@@ -427,7 +428,9 @@
     return;
   }
   for (RangeState& state : ranges_) {
-    if (state.pending_order == 0 && now >= state.next_order_at) {
+    // Only the leader that is replaced could write a higher token for an owner that asks for one.
+    const bool renewable = state.phase == RangePhase::kOwned && state.pending_order == 0;
+    if (renewable && now >= state.next_order_at) {
       GrantRange(state);
     }
   }
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -88,6 +88,9 @@
     bool keeps_owner = false;
     // What the previous owner returned with its release, for the next owner.
     std::string handover_state;
+    // Whether the owner may have seen a higher token than its own, as a release carries one. It
+    // refuses grants with its own token then, which does not show that it holds nothing.
+    bool token_may_be_outdated = false;
     // Whether the owner has confirmed a grant of this leader.
     bool grant_confirmed = false;
     // Whether requests may go to the owner, as it is assumed to hold the keys.
@@ -164,6 +167,8 @@
   // Releases a batch of the keys that endpoints of evacuated domains own.
   void ReleaseEvacuatedKeys(const EndpointFleet& fleet, const StoreView& store, Instant now);
   void HandleOwnerRestart(RangeState& state, const EndpointEntry& owner);
+  // Handles the refusal of a grant because of its token.
+  void HandleOutdatedToken(RangeState& state, Instant now);
   void AdvanceExpiringRange(RangeState& state, const EndpointFleet& fleet, Instant now);
   // Whether the owner is missing from the list and another endpoint has its address, so
   // that the owner has certainly ended.
@@ -194,8 +199,14 @@
   void BecomeFollower();
   void GrantRange(RangeState& state);
   void StartRelease(RangeState& state, std::optional<InstanceId> target, const std::string& reason);
-  // Makes the keys available for a new owner.
+  // Makes the keys available for a new owner. The present one must hold none of them, nor run
+  // requests for them.
   void MarkFree(RangeState& state);
+  // Assigns the keys to their present owner once more, with a higher token. That is safe also while
+  // it holds them or runs requests for them.
+  void ReassignToOwner(RangeState& state);
+  // Stops the use of the owner until it is back, or all its grants have run out.
+  void WaitForExpiry(RangeState& state);
   void AssignFreeRanges(const EndpointFleet& fleet, Instant now);
   void PlanMoves(const EndpointFleet& fleet, const StoreView& store, Instant now);
   // Asks the owner of the piece, which lies in one range, to release it.
--- a/src/core/key_leader_orders.cc
+++ b/src/core/key_leader_orders.cc
@@ -26,9 +26,7 @@
   // The keys therefore stay with it under a higher token, or are released.
   state.owned.incarnation = owner.incarnation;
   state.handover_state.clear();
-  state.target = state.owned.owner;
-  MarkFree(state);
-  state.must_keep_owner = true;
+  ReassignToOwner(state);
 }
 
 void KeyLeader::AdvanceOwnedRange(RangeState& state, const EndpointFleet& fleet,
@@ -94,10 +92,15 @@
   const bool is_back = owner != nullptr && owner->AcceptsNewKeys() &&
                        owner->entry.incarnation == state.owned.incarnation && !state.target;
   if (is_back) {
-    LogDecision("owner available again range=" + ToString(state.owned.range) +
-                " endpoint=" + state.owned.owner.value());
+    LogDecision("owner available again range=" + ToString(state.owned.range) + " endpoint=" +
+                state.owned.owner.value() + (state.token_may_be_outdated ? " new token" : ""));
+    if (state.token_may_be_outdated) {
+      ReassignToOwner(state);
+      return;
+    }
+    // Requests go to it once it has confirmed a grant.
     state.phase = RangePhase::kOwned;
-    state.serving = true;
+    state.grant_confirmed = false;
     state.order_failures = 0;
     state.next_order_at = now;
     return;
@@ -146,6 +149,19 @@
   actions_.emplace_back(RoutesChanged{});
 }
 
+void KeyLeader::ReassignToOwner(RangeState& state) {
+  state.target = state.owned.owner;
+  MarkFree(state);
+  state.must_keep_owner = true;
+}
+
+void KeyLeader::WaitForExpiry(RangeState& state) {
+  state.phase = RangePhase::kExpiring;
+  if (std::exchange(state.serving, false)) {
+    actions_.emplace_back(RoutesChanged{});
+  }
+}
+
 KeyLeader::RangeState* KeyLeader::FindRangeByOrder(std::uint64_t order) {
   const auto found = std::find_if(ranges_.begin(), ranges_.end(), [order](const RangeState& state) {
     return state.pending_order == order;
@@ -164,6 +180,7 @@
   }
   if (state->phase == RangePhase::kReleasing) {
     state->handover_state = reply.handover_state;
+    state->token_may_be_outdated = true;
     const bool is_released = reply.outcome == OrderReply::Outcome::kDone &&
                              now >= state->unconfirmed_until && now >= state->older_grant_until;
     if (is_released || reply.outcome == OrderReply::Outcome::kAnotherEndpoint) {
@@ -171,7 +188,7 @@
     } else {
       LogDecision("keys may still be held range=" + ToString(state->owned.range) +
                   " endpoint=" + state->owned.owner.value());
-      state->phase = RangePhase::kExpiring;
+      WaitForExpiry(*state);
     }
     return;
   }
@@ -189,20 +206,7 @@
     return;
   }
   if (reply.outcome == OrderReply::Outcome::kOutdated) {
-    // The endpoint accepts only a higher token and holds nothing under this one.
-    LogDecision("token outdated range=" + ToString(state->owned.range) +
-                " endpoint=" + state->owned.owner.value());
-    state->target = state->owned.owner;
-    contested_ = true;
-    if (now < lost_grants_until_) {
-      // Another leader, whose record the store lost, may have given the keys to another endpoint.
-      state->phase = RangePhase::kExpiring;
-      state->serving = false;
-      state->held_until = std::max(state->held_until, lost_grants_until_);
-      actions_.emplace_back(RoutesChanged{});
-      return;
-    }
-    MarkFree(*state);
+    HandleOutdatedToken(*state, now);
     return;
   }
   if (reply.outcome == OrderReply::Outcome::kAnotherEndpoint) {
@@ -217,6 +221,22 @@
   state->last_failure_at = now;
 }
 
+void KeyLeader::HandleOutdatedToken(RangeState& state, Instant now) {
+  LogDecision("token outdated range=" + ToString(state.owned.range) +
+              " endpoint=" + state.owned.owner.value());
+  // Only this grant has certainly no effect. Earlier ones may be in force, and requests that began
+  // under them may run although a release has stopped new ones.
+  state.token_may_be_outdated = true;
+  contested_ = true;
+  if (now < lost_grants_until_) {
+    // Another leader, whose record the store lost, may have given the keys to another endpoint, so
+    // the present owner may not return before that.
+    state.target = state.owned.owner;
+    state.held_until = std::max(state.held_until, lost_grants_until_);
+  }
+  WaitForExpiry(state);
+}
+
 void KeyLeader::CountUnconfirmedGrant(RangeState& state, Instant now) const {
   const Instant until = now + settings_.max_arrival_after_reset + GrantLifetime();
   state.unconfirmed_until = std::max(state.unconfirmed_until, until);
@@ -232,7 +252,8 @@
   ++state->order_failures;
   state->last_failure_at = now;
   if (state->phase == RangePhase::kReleasing) {
-    state->phase = RangePhase::kExpiring;
+    state->token_may_be_outdated = state->token_may_be_outdated || sent;
+    WaitForExpiry(*state);
     LogDecision("release unanswered range=" + ToString(state->owned.range) +
                 " endpoint=" + state->owned.owner.value());
     return;
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -37,11 +37,14 @@
 // for other endpoints the reply is a refusal, as from another service at their address.
 struct SingleLeaderSetup {
   void AddEndpoint(const std::string& id, const std::string& host,
-                   const std::string& service = "soil") {
+                   const std::string& service = "soil", const std::string& domain = "",
+                   bool draining = false) {
     EndpointEntry entry;
     entry.id = InstanceId{id};
     entry.service = ServiceName{service};
     entry.address = {host, 80};
+    entry.domain = DomainName{domain};
+    entry.draining = draining;
     fleet.Put(entry, now);
   }
 
@@ -67,7 +70,9 @@
             leader.HandleOrderReply(grant->order, ReplyOf(grant->endpoint), now);
           }
         } else if (const auto* release = std::get_if<SendRelease>(&action)) {
-          leader.HandleOrderReply(release->order, ReplyOf(release->endpoint), now);
+          if (!take_release || !take_release(*release)) {
+            leader.HandleOrderReply(release->order, ReplyOf(release->endpoint), now);
+          }
         }
       }
     }
@@ -111,6 +116,8 @@
   bool store_reachable = true;
   // Returns whether it took over the result of the grant, which is then not answered at once.
   std::function<bool(const SendGrant&)> take_grant;
+  // The same for a release.
+  std::function<bool(const SendRelease&)> take_release;
   Instant now = Instant{} + std::chrono::hours{1};
   Instant reachable_since = now;
   EndpointFleet fleet;
@@ -162,6 +169,15 @@
         .endpoint_partitions = 0.5,
         .endpoint_restarts = 0.3,
         .evacuations = 0.3}},
+      {"slow requests, domains evacuated", {.slow_requests = 0.5, .evacuations = 0.4}},
+      {"slow requests, domains evacuated, endpoints cold",
+       {.slow_requests = 0.5, .endpoint_restarts = 0.2, .evacuations = 0.4, .cold_rate = 4}},
+      {"slow requests, endpoints drain, missing from the list or partitioned",
+       {.slow_requests = 0.5, .endpoint_partitions = 0.3, .list_losses = 0.4, .drains = 0.4}},
+      {"slow requests, daemons killed and stopped, domains evacuated",
+       {.slow_requests = 0.5, .daemon_kills = 0.2, .daemon_stops = 0.2, .evacuations = 0.4}},
+      {"slow requests, orders lost and late",
+       {.orders_lost = 0.1, .orders_late = 0.2, .slow_requests = 0.5, .evacuations = 0.4}},
       {"all faults", AllFaults()},
   };
   constexpr int kSeeds = 8;
@@ -339,6 +355,121 @@
   }
 }
 
+// Guards against keys that are given to another endpoint while their owner still runs requests for
+// them, as it has answered a grant with "outdated token" after a release that it has yet to answer.
+TEST_CASE("a refused grant frees no keys for others before the owner's grants have run out") {
+  using std::chrono::milliseconds;
+  using Change = std::function<void(SingleLeaderSetup&)>;
+  const InstanceId owner{"a"};
+  const Change evacuate = [](SingleLeaderSetup& setup) {
+    setup.fleet.SetEvacuated(DomainName{"north"}, true, setup.now);
+  };
+  const Change withdraw = [](SingleLeaderSetup& setup) {
+    setup.fleet.SetEvacuated(DomainName{"north"}, false, setup.now);
+  };
+  const Change drain = [](SingleLeaderSetup& setup) {
+    setup.AddEndpoint("a", "10.0.0.1", "soil", "north", true);
+  };
+  const Change list = [](SingleLeaderSetup& setup) {
+    setup.AddEndpoint("a", "10.0.0.1", "soil", "north");
+  };
+  const Change remove = [&owner](SingleLeaderSetup& setup) {
+    setup.fleet.Remove(owner, setup.now);
+  };
+  struct Row {
+    const char* name;
+    Change leave;
+    Change come_back;
+    // Whether the owner is cold when it is back, so that others are preferred.
+    bool cold;
+    // Whether it leaves once more before the leader can act on its return.
+    bool leaves_again;
+    // How long the release waits for the owner's running requests, at the most.
+    milliseconds release_fails_after;
+  };
+  constexpr milliseconds kReleaseTimeout{3000};
+  constexpr milliseconds kReset{100};
+  const Row rows[] = {
+      {"evacuation withdrawn", evacuate, withdraw, false, false, kReleaseTimeout},
+      {"evacuation withdrawn, owner cold", evacuate, withdraw, true, false, kReleaseTimeout},
+      {"evacuation withdrawn, connection reset", evacuate, withdraw, true, false, kReset},
+      {"evacuation withdrawn, and another begins", evacuate, withdraw, true, true, kReset},
+      {"draining withdrawn", drain, list, false, false, kReleaseTimeout},
+      {"draining withdrawn, owner cold", drain, list, true, false, kReset},
+      {"draining withdrawn, and draining again", drain, list, true, true, kReset},
+      {"listed again", remove, list, false, false, kReleaseTimeout},
+      {"listed again, owner cold", remove, list, true, false, kReset},
+      {"listed again, and removed again", remove, list, true, true, kReset},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    SingleLeaderSetup setup;
+    setup.AddEndpoint("a", "10.0.0.1", "soil", "north");
+    setup.AddEndpoint("b", "10.0.0.2", "soil", "south");
+    setup.fleet.SetColdTerms(ServiceName{"soil"}, {std::chrono::seconds{3}, 4});
+    setup.RunFor(std::chrono::seconds{5});
+    REQUIRE(setup.Owners().size() == 2);
+
+    // The endpoint refuses tokens below that of a release, and answers none before its requests
+    // end.
+    FencingToken seen;
+    Instant held_until;
+    Instant given_on_at;
+    bool granted_again = false;
+    setup.take_grant = [&](const SendGrant& grant) {
+      if (grant.endpoint != owner) {
+        if (grant.grant.range.Contains(0) && given_on_at == Instant{}) {
+          given_on_at = setup.now;
+        }
+        return false;
+      }
+      const bool outdated = grant.grant.token < seen;
+      granted_again = granted_again || (!outdated && seen != FencingToken{});
+      held_until = outdated ? held_until : setup.now + grant.grant.time_to_live;
+      setup.leader.HandleOrderReply(
+          grant.order, {outdated ? OrderReply::Outcome::kOutdated : OrderReply::Outcome::kDone, ""},
+          setup.now);
+      return true;
+    };
+    std::uint64_t release_order = 0;
+    Instant release_fails_at;
+    setup.take_release = [&](const SendRelease& release) {
+      seen = std::max(seen, release.token);
+      release_order = release.order;
+      release_fails_at = setup.now + row.release_fails_after;
+      return release.endpoint == owner;
+    };
+    const auto run_for = [&](Duration time) {
+      for (const Instant end = setup.now + time; setup.now < end;) {
+        setup.RunFor({});
+        if (release_order != 0 && setup.now >= release_fails_at) {
+          setup.leader.HandleOrderFailure(std::exchange(release_order, 0), true, setup.now);
+        }
+      }
+    };
+    run_for(milliseconds{1500});
+    row.leave(setup);
+    while (release_order == 0) {
+      run_for(milliseconds{20});
+    }
+    run_for(row.release_fails_after - milliseconds{40});
+    row.come_back(setup);
+    if (row.cold) {
+      setup.fleet.AssumeCold(owner, setup.now + std::chrono::seconds{30});
+    }
+    if (row.leaves_again) {
+      run_for(milliseconds{60});
+      row.leave(setup);
+    }
+    run_for(std::chrono::seconds{1});
+    // Its keys are served again at once by the only endpoint that may serve them.
+    CHECK((granted_again || row.leaves_again));
+    run_for(std::chrono::seconds{9});
+    CHECK((given_on_at == Instant{} || given_on_at >= held_until));
+    CHECK((given_on_at != Instant{} || !row.leaves_again));
+  }
+}
+
 // Guards against a leader that does not know of an earlier one, as the leader between the two has
 // stepped down: that one may be cut off from the others and still grant keys.
 TEST_CASE("a leader waits for every earlier leader that may still grant keys") {
--- a/tests/core/key_simulation.cc
+++ b/tests/core/key_simulation.cc
@@ -16,6 +16,8 @@
 constexpr double kSlowClockFactor = 1.02;
 constexpr int kMaxOrderDelayMs = 350;
 constexpr int kOrderTimeoutMs = 700;
+constexpr int kReleaseTimeoutMs = 3000;
+constexpr int kMaxRequestMs = 8000;
 // How late a busy daemon notices an order's timeout.
 constexpr int kMaxTimeoutDelayMs = 600;
 // How long after the reset of its connection an endpoint may still take a grant: a busy one,
@@ -47,6 +49,7 @@
     endpoint.id = InstanceId{"e" + std::to_string(i)};
     endpoint.domain = DomainName{i < kEndpoints / 2 ? "north" : "south"};
     endpoint.incarnation = {1};
+    endpoint.learns_from_releases = i % 2 == 0;
     endpoint.keys.resize(kKeyCount);
     endpoints_.push_back(std::move(endpoint));
   }
@@ -222,6 +225,7 @@
     held.highest_seen_token = grant.token.value;
     held.token = grant.token.value;
     held.until_ms = std::max(held.until_ms, until_ms);
+    held.granted_until_ms = std::max(held.granted_until_ms, until_ms);
     if (until_ms <= now_ms_) {
       continue;
     }
@@ -231,6 +235,11 @@
                         endpoint.id.value());
         return {};
       }
+      if (&other != &endpoint && other.up && other.keys[key].HasRequest(now_ms_)) {
+        ReportViolation("key " + std::to_string(key) + " given to " + endpoint.id.value() +
+                        " while " + other.id.value() + " runs a request for it");
+        return {};
+      }
       if (&other != &endpoint && other.keys[key].token >= grant.token.value) {
         ReportViolation("key " + std::to_string(key) + " taken by " + endpoint.id.value() +
                         " with a token that " + other.id.value() + " already had");
@@ -327,6 +336,51 @@
   }
 }
 
+void KeySimulation::FakeEndpoint::Forget() {
+  for (HeldKey& key : keys) {
+    key.until_ms = 0;
+    key.highest_seen_token = 0;
+    key.request_ends_ms = 0;
+    key.granted_until_ms = 0;
+  }
+}
+
+void KeySimulation::StopRequests(FakeEndpoint& endpoint, const SendRelease& order) {
+  const bool runs_requests = faults_.slow_requests > 0 && RandomBool(faults_.slow_requests);
+  const std::int64_t request_ends_ms = runs_requests ? now_ms_ + RandomBelow(kMaxRequestMs) : 0;
+  for (KeyNumber key = order.range.first; key <= order.range.last; ++key) {
+    HeldKey& held = endpoint.keys[key];
+    if (held.until_ms > now_ms_) {
+      held.request_ends_ms = std::max(held.request_ends_ms, request_ends_ms);
+    }
+    held.until_ms = 0;
+    if (endpoint.learns_from_releases) {
+      held.highest_seen_token = std::max(held.highest_seen_token, order.token.value);
+    }
+  }
+}
+
+void KeySimulation::AnswerRelease(FakeDaemon& daemon, const FakeEndpoint& endpoint,
+                                  const SendRelease& order, std::uint64_t start_number,
+                                  std::int64_t fails_at_ms) {
+  if (daemon.start_number != start_number) {
+    return;
+  }
+  const auto first = endpoint.keys.begin() + order.range.first;
+  const auto end = endpoint.keys.begin() + order.range.last + 1;
+  const bool runs_requests =
+      std::any_of(first, end, [this](const HeldKey& held) { return held.HasRequest(now_ms_); });
+  if (!endpoint.up || now_ms_ >= fails_at_ms) {
+    daemon.leader->HandleOrderFailure(order.order, true, Now());
+  } else if (runs_requests) {
+    Schedule(kStepMs, [this, &daemon, &endpoint, order, start_number, fails_at_ms] {
+      AnswerRelease(daemon, endpoint, order, start_number, fails_at_ms);
+    });
+  } else {
+    daemon.leader->HandleOrderReply(order.order, {OrderReply::Outcome::kDone, "state"}, Now());
+  }
+}
+
 void KeySimulation::DeliverRelease(FakeDaemon& daemon, const SendRelease& order) {
   ++report_.moves;
   const std::uint64_t start_number = daemon.start_number;
@@ -343,22 +397,16 @@
     return;
   }
   const bool late = RandomBool(faults_.orders_late);
-  Schedule(RandomBelow(kMaxOrderDelayMs) + (late ? kMinLateMs : 0), [this, &daemon, start_number,
-                                                                     order, late, endpoint] {
-    if (!endpoint->up) {
-      if (!late && daemon.start_number == start_number) {
-        daemon.leader->HandleOrderFailure(order.order, true, Now());
-      }
-      return;
-    }
-    for (KeyNumber key = order.range.first; key <= order.range.last; ++key) {
-      // Endpoints learn higher tokens from grants only, not from releases.
-      endpoint->keys[key].until_ms = 0;
-    }
-    if (!late && daemon.start_number == start_number) {
-      daemon.leader->HandleOrderReply(order.order, {OrderReply::Outcome::kDone, "state"}, Now());
-    }
-  });
+  const std::int64_t fails_at_ms = now_ms_ + kReleaseTimeoutMs;
+  Schedule(RandomBelow(kMaxOrderDelayMs) + (late ? kMinLateMs : 0),
+           [this, &daemon, start_number, order, late, endpoint, fails_at_ms] {
+             if (endpoint->up) {
+               StopRequests(*endpoint, order);
+             }
+             if (!late) {
+               AnswerRelease(daemon, *endpoint, order, start_number, fails_at_ms);
+             }
+           });
   if (late) {
     report_failure(true);
   }
@@ -426,10 +474,7 @@
   }
   if (occurs(faults_.endpoint_restarts) && endpoint.up) {
     ++endpoint.incarnation.value;
-    for (HeldKey& key : endpoint.keys) {
-      key.until_ms = 0;
-      key.highest_seen_token = 0;
-    }
+    endpoint.Forget();
   }
   if (occurs(faults_.endpoint_crashes) && endpoint.up) {
     endpoint.up = false;
@@ -482,10 +527,7 @@
       endpoint.up = true;
       endpoint.listed = true;
       ++endpoint.incarnation.value;
-      for (HeldKey& key : endpoint.keys) {
-        key.until_ms = 0;
-        key.highest_seen_token = 0;
-      }
+      endpoint.Forget();
     } else if (endpoint.up && !endpoint.listed && now_ms_ >= endpoint.listed_again_at_ms) {
       endpoint.listed = true;
     }
--- a/tests/core/key_simulation.h
+++ b/tests/core/key_simulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,8 @@
   // Share of grants that are on their way for up to the order's timeout and what the
   // network may add after that.
   double grants_slow = 0;
+  // Share of releases that find requests running for the keys, for up to some seconds.
+  double slow_requests = 0;
   // Shares of writes of the record that are applied without an answer, and that are
   // applied late.
   double writes_unanswered = 0;
@@ -86,17 +89,30 @@
     std::int64_t until_ms = 0;
     // The highest token the endpoint has seen for the key.
     std::uint64_t highest_seen_token = 0;
+    // When the longest request that a release has found ends, and when the latest grant runs out,
+    // which ends it as well.
+    std::int64_t request_ends_ms = 0;
+    std::int64_t granted_until_ms = 0;
+
+    bool HasRequest(std::int64_t now_ms) const {
+      return now_ms < std::min(request_ends_ms, granted_until_ms);
+    }
   };
   struct FakeEndpoint {
     InstanceId id;
     DomainName domain;
     Incarnation incarnation;
+    // Whether it learns higher tokens from releases as well as from grants.
+    bool learns_from_releases = false;
     bool up = true;
     bool listed = true;
     bool draining = false;
     std::int64_t restart_at_ms = 0;
     std::int64_t listed_again_at_ms = 0;
     std::vector<HeldKey> keys;
+
+    // Forgets its keys and requests, as at a restart.
+    void Forget();
   };
   struct FakeDaemon {
     InstanceId id;
@@ -137,6 +153,11 @@
   void DeliverHandOver(FakeDaemon& daemon, const HandOver& hand_over);
   void DeliverRelease(FakeDaemon& daemon, const SendRelease& order);
   OrderReply ApplyGrant(FakeEndpoint& endpoint, const KeyGrant& grant, std::int64_t arrived_ms);
+  // Stops new requests for the keys of a release.
+  void StopRequests(FakeEndpoint& endpoint, const SendRelease& order);
+  // Answers a release once no request runs for its keys, or lets it fail after its timeout.
+  void AnswerRelease(FakeDaemon& daemon, const FakeEndpoint& endpoint, const SendRelease& order,
+                     std::uint64_t start_number, std::int64_t fails_at_ms);
   FakeEndpoint* FindReachable(FakeDaemon& daemon, const InstanceId& id);
   void ReportViolation(const std::string& text);
   void MeasureGaps();
