Ask an owner before an entry with its address frees its keys

Cause: an owner whose entry had lapsed counted as ended as soon as any entry with its address was listed. Its keys were free at once, without a release and without waiting for its grants.

Change: such an entry frees nothing by itself. The owner's address gets the grant or release that is due anyway, and only an answer of another endpoint, which says that the order names another id, proves that the owner has ended; an entry of a configured service that appears later makes a waiting range ask again. Entries of other services are counted apart, and refused orders are logged with their status.

--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -250,6 +250,21 @@
   return found == assumed_cold_until_.end() ? Instant{} : found->second;
 }
 
+std::size_t EndpointFleet::CountUnconfigured() const {
+  return static_cast<std::size_t>(
+      std::count_if(endpoints_.begin(), endpoints_.end(), [this](const auto& each) {
+        return !configured_services_.contains(each.second.entry.service);
+      }));
+}
+
+bool EndpointFleet::IsUsedByAnother(const NetworkAddress& address, const InstanceId& id) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& each) {
+    const EndpointEntry& entry = each.second.entry;
+    return entry.address == address && entry.id != id &&
+           configured_services_.contains(entry.service);
+  });
+}
+
 void EndpointFleet::SetColdTerms(const ServiceName& service, const ColdTerms& terms) {
   services_[service].cold_terms = terms;
   for (auto& [id, state] : endpoints_) {
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -159,6 +159,12 @@
   // Counts the endpoints of a service in a domain, also those listed later, as cold until then,
   // whatever their entries say. Returns how many are listed.
   std::size_t AssumeCold(const DomainName& domain, const ServiceName& service, Instant until);
+  // Sets the services that the configuration names. Entries of others name no endpoints to use.
+  void SetServices(std::set<ServiceName> services) { configured_services_ = std::move(services); }
+  // How many listed entries are of services that the configuration does not name.
+  std::size_t CountUnconfigured() const;
+  // Whether an entry of a configured service, other than this one, has the address.
+  bool IsUsedByAnother(const NetworkAddress& address, const InstanceId& id) const;
   // Sets what the endpoints of a service bear when cold.
   void SetColdTerms(const ServiceName& service, const ColdTerms& terms);
   // Notes that all endpoints listed at this daemon's start have been added; incarnations added from
@@ -264,6 +270,7 @@
   void AverageServiceTime(EndpointState& state, const ServiceTimes& times, double weight_each);
 
   DomainEvacuations evacuations_;
+  std::set<ServiceName> configured_services_;
   // Until when endpoints count as cold, by domain and service.
   std::map<std::pair<DomainName, ServiceName>, Instant> assumed_cold_until_;
   bool loaded_ = false;
--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -91,6 +91,8 @@
     // Whether the owner may have seen a higher token than its own, as a release carries one. It
     // refuses grants with its own token then, which does not show that it holds nothing.
     bool token_may_be_outdated = false;
+    // Whether the release was sent again, to learn whether the owner has ended.
+    bool release_repeated = false;
     // Whether the owner has confirmed a grant of this leader.
     bool grant_confirmed = false;
     // Whether requests may go to the owner, as it is assumed to hold the keys.
@@ -159,6 +161,9 @@
   static bool NeedsGrantBeforeRelease(const RangeState& state, Instant now);
   // Whether the owner holds the keys no longer, as its grant could not be renewed in time.
   static bool HasExpired(const RangeState& state, Instant now);
+  // Whether a repeated release is unanswered although all grants have run out, so that its answer
+  // is not needed any more.
+  static bool IsReleaseOutlived(const RangeState& state, Instant now);
   // Whether the owner may be asked now to release the keys.
   static bool IsReleasable(const RangeState& state, const EndpointState& owner, Instant now);
   // Counts the keys that endpoints of evacuated domains own.
@@ -167,11 +172,13 @@
   // Releases a batch of the keys that endpoints of evacuated domains own.
   void ReleaseEvacuatedKeys(const EndpointFleet& fleet, const StoreView& store, Instant now);
   void HandleOwnerRestart(RangeState& state, const EndpointEntry& owner);
+  // Handles an answer that shows that the owner has ended, as another endpoint gave it.
+  void HandleOwnerReplaced(RangeState& state);
   // Handles the refusal of a grant because of its token.
   void HandleOutdatedToken(RangeState& state, Instant now);
   void AdvanceExpiringRange(RangeState& state, const EndpointFleet& fleet, Instant now);
-  // Whether the owner is missing from the list and another endpoint has its address, so
-  // that the owner has certainly ended.
+  // Whether the owner is missing from the list and another endpoint has its address. That alone
+  // does not prove that it has ended: the other entry may be wrong.
   bool OwnerAddressIsReused(const RangeState& state, const EndpointFleet& fleet) const;
   // Replaces the ranges by those of the record. Earlier leaders may go on sending grants
   // for `earlier_grant_time` from now on.
--- a/src/core/key_leader_orders.cc
+++ b/src/core/key_leader_orders.cc
@@ -15,6 +15,8 @@
       AdvanceOwnedRange(state, fleet, store, now);
     } else if (state.phase == RangePhase::kExpiring) {
       AdvanceExpiringRange(state, fleet, now);
+    } else if (IsReleaseOutlived(state, now)) {
+      MarkFree(state);
     }
   }
 }
@@ -44,12 +46,6 @@
   }
   const bool owner_is_draining = owner != nullptr && owner->draining();
   const bool owner_is_missing = owner == nullptr && list_is_reliable;
-  if (owner_is_missing && OwnerAddressIsReused(state, fleet)) {
-    LogDecision("owner replaced range=" + ToString(state.owned.range) +
-                " endpoint=" + state.owned.owner.value());
-    MarkFree(state);
-    return;
-  }
   if ((owner_is_draining || owner_is_missing) && !NeedsGrantBeforeRelease(state, now)) {
     StartRelease(state, std::nullopt,
                  owner_is_draining ? "owner leaves" : "owner gone from the list");
@@ -72,6 +68,10 @@
   return state.order_failures > 1 && now >= state.held_until;
 }
 
+bool KeyLeader::IsReleaseOutlived(const RangeState& state, Instant now) {
+  return state.phase == RangePhase::kReleasing && state.release_repeated && now >= state.held_until;
+}
+
 bool KeyLeader::NeedsGrantBeforeRelease(const RangeState& state, Instant now) {
   // An owner that does not answer grants will not answer the release either.
   constexpr std::uint32_t kMaxOrderFailures = 2;
@@ -79,12 +79,8 @@
 }
 
 bool KeyLeader::OwnerAddressIsReused(const RangeState& state, const EndpointFleet& fleet) const {
-  if (fleet.Find(state.owned.owner) != nullptr) {
-    return false;
-  }
-  const NetworkAddress address = AddressOf(state.owned.owner);
-  return std::any_of(fleet.all().begin(), fleet.all().end(),
-                     [&](const auto& each) { return each.second.entry.address == address; });
+  return fleet.Find(state.owned.owner) == nullptr &&
+         fleet.IsUsedByAnother(AddressOf(state.owned.owner), state.owned.owner);
 }
 
 void KeyLeader::AdvanceExpiringRange(RangeState& state, const EndpointFleet& fleet, Instant now) {
@@ -105,9 +101,16 @@
     state.next_order_at = now;
     return;
   }
-  const bool has_expired = now >= state.held_until;
-  if (has_expired || OwnerAddressIsReused(state, fleet)) {
+  if (now >= state.held_until) {
     MarkFree(state);
+    return;
+  }
+  // Whoever is at the address tells whether the owner has ended. That says nothing about another
+  // owner that a lost change of the record may have named.
+  const bool may_have_ended = now >= lost_grants_until_ && OwnerAddressIsReused(state, fleet);
+  if (may_have_ended && now >= state.next_order_at) {
+    StartRelease(state, state.target, "owner's address used by another");
+    state.release_repeated = true;
   }
 }
 
@@ -129,6 +132,7 @@
   RequireInvariant(state.pending_order == 0, "keys are released only while no order is pending");
   state.phase = RangePhase::kReleasing;
   state.serving = false;
+  state.release_repeated = false;
   state.target = std::move(target);
   state.handover_state.clear();
   state.pending_order = next_order_number_++;
@@ -183,12 +187,15 @@
     state->token_may_be_outdated = true;
     const bool is_released = reply.outcome == OrderReply::Outcome::kDone &&
                              now >= state->unconfirmed_until && now >= state->older_grant_until;
-    if (is_released || reply.outcome == OrderReply::Outcome::kAnotherEndpoint) {
+    if (is_released) {
       MarkFree(*state);
+    } else if (reply.outcome == OrderReply::Outcome::kAnotherEndpoint) {
+      HandleOwnerReplaced(*state);
     } else {
       LogDecision("keys may still be held range=" + ToString(state->owned.range) +
                   " endpoint=" + state->owned.owner.value());
       WaitForExpiry(*state);
+      state->next_order_at = now + settings_.order_retry_delay;
     }
     return;
   }
@@ -210,9 +217,7 @@
     return;
   }
   if (reply.outcome == OrderReply::Outcome::kAnotherEndpoint) {
-    LogDecision("owner replaced range=" + ToString(state->owned.range) +
-                " endpoint=" + state->owned.owner.value());
-    MarkFree(*state);
+    HandleOwnerReplaced(*state);
     return;
   }
   CountUnconfirmedGrant(*state, now);
@@ -221,6 +226,13 @@
   state->last_failure_at = now;
 }
 
+void KeyLeader::HandleOwnerReplaced(RangeState& state) {
+  LogDecision("owner replaced range=" + ToString(state.owned.range) +
+              " endpoint=" + state.owned.owner.value());
+  state.handover_state.clear();
+  MarkFree(state);
+}
+
 void KeyLeader::HandleOutdatedToken(RangeState& state, Instant now) {
   LogDecision("token outdated range=" + ToString(state.owned.range) +
               " endpoint=" + state.owned.owner.value());
@@ -254,6 +266,7 @@
   if (state->phase == RangePhase::kReleasing) {
     state->token_may_be_outdated = state->token_may_be_outdated || sent;
     WaitForExpiry(*state);
+    state->next_order_at = now + settings_.order_retry_delay;
     LogDecision("release unanswered range=" + ToString(state->owned.range) +
                 " endpoint=" + state->owned.owner.value());
     return;
--- a/src/router/key_service.cc
+++ b/src/router/key_service.cc
@@ -9,6 +9,7 @@
 
 #include "clock/system_clock.h"
 #include "core/peer_schedule.h"
+#include "http/status.h"
 #include "router/record_codec.h"
 
 namespace sycamorestall {
@@ -296,9 +297,13 @@
       " endpoint=" + order.endpoint.value() + " after_ms=" + FormatMilliseconds(taken);
   if (result.outcome != CallOutcome::kAnswered) {
     log_.Warning("order not answered" + details + " reason=" + result.reason);
+    return;
+  }
+  const std::string status = " status=" + std::to_string(result.answer.result_int());
+  if (result.answer.result_int() != http::kOk) {
+    log_.Info("order refused" + details + status);
   } else if (taken > kSlowOrderTime) {
-    log_.Info("order answered late" + details +
-              " status=" + std::to_string(result.answer.result_int()));
+    log_.Info("order answered late" + details + status);
   }
 }
 
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -219,7 +219,9 @@
   const auto cold = std::count_if(fleet_.all().begin(), fleet_.all().end(),
                                   [now](const auto& each) { return each.second.IsCold(now); });
   metrics_.SetGauge("cold_endpoints", static_cast<double>(cold));
-  metrics_.SetGauge("endpoints_listed", static_cast<double>(fleet_.all().size()));
+  const std::size_t unconfigured = fleet_.CountUnconfigured();
+  metrics_.SetGauge("endpoints_listed", static_cast<double>(fleet_.all().size() - unconfigured));
+  metrics_.SetGauge("endpoints_of_unconfigured_services", static_cast<double>(unconfigured));
   metrics_.SetGauge("caller_connections",
                     static_cast<double>(caller_listener_->open_connections()));
   metrics_.SetGauge("caller_connections_evicted_total",
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -129,6 +129,8 @@
   void UpdateColdLimiter(Instant now);
   // Tells the fleet what the endpoints of the configured services bear when cold.
   void ApplyColdTerms();
+  // Tells which services the configuration names.
+  void ApplyServices();
   void LogIfCold(const EndpointEntry& entry, const std::string& reason, Instant now);
   void SendAnnouncements(Instant now);
   // Sends the requests for keys counted here, and reports of endpoints that do not hold theirs, to
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -168,6 +168,14 @@
   }
 }
 
+void RoutingDaemon::ApplyServices() {
+  std::set<ServiceName> names;
+  for (const auto& [name, service] : routes_->config().services) {
+    names.insert(name);
+  }
+  fleet_.SetServices(std::move(names));
+}
+
 void RoutingDaemon::ApplyColdTerms() {
   for (const auto& [name, service] : routes_->config().services) {
     const bool limited = settings_.cold_rate_factor > 0 && service.cold_rate > 0;
@@ -269,6 +277,7 @@
             " source=" + ToString(origin.source) + " age_ms=" + FormatMilliseconds(origin.age) +
             " value_bytes=" + std::to_string(item.value.size()) + FormatTransfer(origin.transfer));
   routes_ = std::make_shared<RouteTable>(std::move(*config));
+  ApplyServices();
   ApplyColdTerms();
   AddKeyServices();
   return ItemEffect::kChanged;
--- a/tests/core/key_leader_test.cc
+++ b/tests/core/key_leader_test.cc
@@ -34,8 +34,10 @@
 }
 
 // A single daemon whose writes succeed at once. Listed endpoints carry out its orders;
-// for other endpoints the reply is a refusal, as from another service at their address.
+// for other endpoints the reply comes from the endpoint that has their address now, if any.
 struct SingleLeaderSetup {
+  SingleLeaderSetup() { fleet.SetServices({ServiceName{"soil"}, ServiceName{"pumps"}}); }
+
   void AddEndpoint(const std::string& id, const std::string& host,
                    const std::string& service = "soil", const std::string& domain = "",
                    bool draining = false) {
@@ -89,8 +91,11 @@
 
   OrderReply ReplyOf(const InstanceId& endpoint) const {
     OrderReply reply;
+    const auto gone = record.addresses.find(endpoint);
     if (fleet.Find(endpoint) != nullptr) {
       reply.outcome = OrderReply::Outcome::kDone;
+    } else if (gone != record.addresses.end() && fleet.IsUsedByAnother(gone->second, endpoint)) {
+      reply.outcome = OrderReply::Outcome::kAnotherEndpoint;
     }
     return reply;
   }
@@ -271,6 +276,153 @@
   CHECK(setup.Owners() == std::set<InstanceId>{InstanceId{"a"}});
 }
 
+// Guards against keys that are given away at once, as an entry of another writer has the address of
+// their owner, whose own entry has lapsed while it holds the keys and answers orders.
+TEST_CASE("an entry with an owner's address frees its keys only if the answer there agrees") {
+  using std::chrono::milliseconds;
+  // What is at the owner's address.
+  enum class Answerer {
+    kOwner,
+    kNobody,
+    kAnotherEndpoint,
+    // Another endpoint, but nobody before it is listed.
+    kAnotherEndpointOnceListed,
+    kUnknownProgram
+  };
+  enum class GivenOn { kOnceReleased, kOnceExpired, kAtOnce };
+  struct Row {
+    const char* name;
+    const char* service;
+    Answerer answerer;
+    // When the other entry is listed, after the removal of the owner's.
+    milliseconds listed_after;
+    GivenOn given_on;
+  };
+  constexpr milliseconds kEarlier{-3000};
+  constexpr milliseconds kLater{1000};
+  const Row rows[] = {
+      {"unnamed service", "monitor", Answerer::kOwner, kEarlier, GivenOn::kOnceReleased},
+      {"unnamed service, later", "monitor", Answerer::kOwner, kLater, GivenOn::kOnceReleased},
+      {"unnamed service, silence", "monitor", Answerer::kNobody, kEarlier, GivenOn::kOnceExpired},
+      {"unnamed service, silence, later", "monitor", Answerer::kNobody, kLater,
+       GivenOn::kOnceExpired},
+      {"unnamed service, refusal", "monitor", Answerer::kUnknownProgram, kEarlier,
+       GivenOn::kOnceExpired},
+      {"named service", "pumps", Answerer::kOwner, kEarlier, GivenOn::kOnceReleased},
+      {"named service, later", "pumps", Answerer::kOwner, kLater, GivenOn::kOnceReleased},
+      {"named service, silence", "pumps", Answerer::kNobody, kEarlier, GivenOn::kOnceExpired},
+      {"named service, silence, later", "pumps", Answerer::kNobody, kLater, GivenOn::kOnceExpired},
+      {"named service, refusal", "pumps", Answerer::kUnknownProgram, kEarlier,
+       GivenOn::kOnceExpired},
+      {"named service, refusal, later", "pumps", Answerer::kUnknownProgram, kLater,
+       GivenOn::kOnceExpired},
+      {"named service, another id", "pumps", Answerer::kAnotherEndpoint, kEarlier,
+       GivenOn::kAtOnce},
+      {"named service, another id once listed", "pumps", Answerer::kAnotherEndpointOnceListed,
+       kLater, GivenOn::kAtOnce},
+      {"unnamed service, another id once listed", "monitor", Answerer::kAnotherEndpointOnceListed,
+       kLater, GivenOn::kOnceExpired},
+      {"no entry, another id", "", Answerer::kAnotherEndpoint, kEarlier, GivenOn::kAtOnce},
+      {"no entry, refusal", "", Answerer::kUnknownProgram, kEarlier, GivenOn::kOnceExpired},
+  };
+  constexpr milliseconds kLongestHold{4080};
+  constexpr milliseconds kRequestTime{500};
+  constexpr milliseconds kOrderTimeout{700};
+  // The rest of an unanswered order, its retry, a step of the test each to notice, to write and to
+  // grant, and a write interval.
+  constexpr milliseconds kSlack{1000};
+  const InstanceId owner{"a"};
+  const NetworkAddress address{"10.0.0.1", 80};
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    SingleLeaderSetup setup;
+    setup.AddEndpoint("a", address.host);
+    setup.AddEndpoint("b", "10.0.0.2");
+    bool other_listed = false;
+    const auto list_other = [&] {
+      other_listed = true;
+      if (*row.service != '\0') {
+        setup.AddEndpoint("other", address.host, row.service);
+      }
+    };
+    setup.RunFor(std::chrono::seconds{5});
+    REQUIRE(setup.Owners().size() == 2);
+    if (row.listed_after < milliseconds{0}) {
+      list_other();
+      setup.RunFor(-row.listed_after);
+    }
+
+    bool removed = false;
+    Instant held_until;
+    Instant released_at;
+    Instant given_on_at;
+    std::vector<std::pair<Instant, std::function<void()>>> replies;
+    const auto answer = [&](std::uint64_t order, Duration delay) {
+      const bool is_silent =
+          row.answerer == Answerer::kNobody ||
+          (row.answerer == Answerer::kAnotherEndpointOnceListed && !other_listed);
+      const bool answered = !removed || !is_silent;
+      const auto outcome = !removed || row.answerer == Answerer::kOwner ? OrderReply::Outcome::kDone
+                           : row.answerer == Answerer::kUnknownProgram
+                               ? OrderReply::Outcome::kRefused
+                               : OrderReply::Outcome::kAnotherEndpoint;
+      replies.emplace_back(setup.now + (answered ? delay : kOrderTimeout),
+                           [&, order, answered, outcome] {
+                             if (answered) {
+                               setup.leader.HandleOrderReply(order, {outcome, ""}, setup.now);
+                             } else {
+                               setup.leader.HandleOrderFailure(order, true, setup.now);
+                             }
+                           });
+    };
+    setup.take_grant = [&](const SendGrant& grant) {
+      if (grant.endpoint != owner) {
+        if (grant.grant.range.Contains(0) && given_on_at == Instant{}) {
+          given_on_at = setup.now;
+        }
+        return false;
+      }
+      held_until = removed ? held_until : setup.now + kLongestHold;
+      answer(grant.order, {});
+      return true;
+    };
+    setup.take_release = [&](const SendRelease& release) {
+      const bool by_owner = row.answerer == Answerer::kOwner;
+      released_at = by_owner ? setup.now + kRequestTime : released_at;
+      answer(release.order, by_owner ? Duration{kRequestTime} : Duration{});
+      return release.endpoint == owner;
+    };
+    const auto run_for = [&](Duration time) {
+      for (const Instant end = setup.now + time; setup.now < end;) {
+        setup.RunFor({});
+        for (auto& [at, reply] : std::exchange(replies, {})) {
+          if (at <= setup.now) {
+            reply();
+          } else {
+            replies.emplace_back(at, std::move(reply));
+          }
+        }
+      }
+    };
+    run_for(std::chrono::seconds{2});
+    removed = true;
+    setup.fleet.Remove(owner, setup.now);
+    const Instant removed_at = setup.now;
+    if (row.listed_after > milliseconds{0}) {
+      run_for(row.listed_after);
+      list_other();
+    }
+    run_for(std::chrono::seconds{9});
+    const Instant earliest = row.given_on == GivenOn::kOnceReleased ? released_at
+                             : row.given_on == GivenOn::kOnceExpired
+                                 ? held_until
+                                 : removed_at + std::max(row.listed_after, {});
+    REQUIRE(given_on_at != Instant{});
+    CHECK(given_on_at >= earliest);
+    CHECK(given_on_at <= earliest + kSlack);
+  }
+}
+
 TEST_CASE("keys are not given on before the last grant to their owner has certainly run out") {
   using std::chrono::milliseconds;
   enum class End { kAnswered, kUnanswered, kNotSent, kRefused };
