--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -20,7 +20,8 @@
     bool valid;
     bool draining;
   };
-  const std::string common_fields = R"({"service":"s","address":"10.0.0.9:8080","zone":"north",)";
+  const std::string common_fields =
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"north","version":"v1",)";
   const Row rows[] = {
       {"ready",
        common_fields +
@@ -29,16 +30,19 @@
       {"draining",
        common_fields + R"("max_concurrency":6,"state":"draining","warmup_left_s":1.5,"seq":4})",
        true, true},
-      {"warm-up missing", common_fields + R"("max_concurrency":6,"state":"ready"})", true, false},
-      {"unknown state", common_fields + R"("max_concurrency":6,"state":"odd","warmup_left_s":0})",
-       false, false},
-      {"max_concurrency missing", common_fields + R"("state":"ready","warmup_left_s":0})", false,
+      {"warm-up missing", common_fields + R"("max_concurrency":6,"state":"ready","seq":4})", false,
+       false},
+      {"unknown state",
+       common_fields + R"("max_concurrency":6,"state":"odd","warmup_left_s":0,"seq":4})", false,
        false},
+      {"max_concurrency missing", common_fields + R"("state":"ready","warmup_left_s":0,"seq":4})",
+       false, false},
       {"max_concurrency of the wrong type",
-       common_fields + R"("max_concurrency":"6","state":"ready","warmup_left_s":0})", false, false},
+       common_fields + R"("max_concurrency":"6","state":"ready","warmup_left_s":0,"seq":4})", false,
+       false},
       {"no port",
-       R"({"service":"s","address":"10.0.0.9","zone":"n","max_concurrency":6,"state":"ready",)"
-       R"("warmup_left_s":0})",
+       R"({"service":"s","address":"10.0.0.9","zone":"n","version":"v1","max_concurrency":6,)"
+       R"("state":"ready","warmup_left_s":0,"seq":4})",
        false, false},
       {"invalid JSON", "\xff\xfe", false, false},
       {"not an object", "[1,2]", false, false}};
--- a/tests/platform/odd_entry_test.cc
+++ b/tests/platform/odd_entry_test.cc
@@ -30,6 +30,16 @@
   return text + (replaced ? "}" : ",\"" + field + "\":" + value + "}");
 }
 
+// An endpoint entry without a field.
+std::string EntryWithout(const std::string& field) {
+  std::string text = EntryWith(field, "@");
+  const std::size_t begin = text.find("\"" + field + "\":@");
+  const std::size_t end = text.find('@', begin) + 1;
+  // With the comma behind it, or before it if it is the last one.
+  return text[end] == ',' ? text.erase(begin, end + 1 - begin)
+                          : text.erase(begin - 1, end - begin + 1);
+}
+
 std::string Nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
 
 }  // namespace
@@ -85,6 +95,34 @@
   }
 }
 
+// Guards against an entry of another writer that is used because only some fields are looked at.
+TEST_CASE("an entry that lacks a field, or has one of another type, names no endpoint") {
+  struct Row {
+    std::string field;
+    // A value of another type than the field's.
+    std::string other_type;
+    // Whether an endpoint may leave it out.
+    bool optional;
+  };
+  const Row rows[] = {{"service", "7", false},
+                      {"address", R"(["10.0.0.9:8080"])", false},
+                      {"zone", "null", false},
+                      {"version", "1", false},
+                      {"max_concurrency", R"("6")", false},
+                      {"state", "true", false},
+                      {"warmup_left_s", R"("0.5")", false},
+                      {"seq", R"("4")", false},
+                      {"born", R"("1700000000000")", true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.field);
+    std::string reason;
+    const StoreItem mistyped{"servers/i-1", EntryWith(row.field, row.other_type), {7}};
+    CHECK_FALSE(PlatformDirectoryFormat{}.ParseEndpoint(mistyped, reason).has_value());
+    const StoreItem lacking{"servers/i-1", EntryWithout(row.field), {7}};
+    CHECK(PlatformDirectoryFormat{}.ParseEndpoint(lacking, reason).has_value() == row.optional);
+  }
+}
+
 TEST_CASE("an entry whose id could not stand in a header names no endpoint") {
   struct Row {
     std::string key;
