Test broken answers behind others, in second tries and to orders

Change: tests with stand-ins that answer with status 000, or without a length and reset the connection during the upload: alone and behind an interim answer, with and without another endpoint that declines, to safe and unsafe requests and uploads; and grants whose answers have an invalid status, head or transfer coding. No product code is changed.

--- a/tests/router/broken_answer_test.cc
+++ b/tests/router/broken_answer_test.cc
@@ -16,13 +16,13 @@
 
 constexpr std::chrono::milliseconds kPause{1};
 constexpr int kMaxTries = 3000;
+constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 20;
 constexpr char kFields[] = "X-Request-Id: @ID@\r\nX-Server-Stamp: stamp\r\n";
 constexpr char kBody[] = "Content-Length: 4\r\n\r\nbody";
 
 // Sends a request that may run only once, with the body, until one reaches the endpoint, and
 // returns the answer to the caller. Before that, the daemon does not know the endpoint yet.
 CallerAnswer AnswerOfEndpoint(const Script& script, const std::string& body = {}) {
-  constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 20;
   ScriptedServer endpoint{script};
   RouterDeployment deployment{1, 1, 0};
   deployment.SetMaxBodyBytes(kMaxBodyBytes);
@@ -38,6 +38,34 @@
   return answer;
 }
 
+// A configuration with a route of each kind to the service pumps.
+std::string ConfigWithAllKinds() {
+  std::string paths;
+  for (const std::string kind : {"safe", "unsafe", "upload"}) {
+    paths += R"({"name":")" + kind + R"(","prefix":"/)" + kind + R"(/","kind":")" + kind +
+             R"(","timeout_s":3,"aim_s":1,"priority":1,"service":"pumps","max_attempts":2},)";
+  }
+  return R"({"version":2,"services":[{"name":"pumps"},{"name":"soil","sharded":true,"warm_s":2.0}],)"
+         R"("limits":{"max_header_bytes":16384,"max_body_bytes":)" +
+         std::to_string(kMaxBodyBytes) + R"(,"header_timeout_s":3,"idle_timeout_s":15},)" +
+         R"("hosts":[{"host":"h.example","paths":[)" + paths +
+         R"({"name":"soil","prefix":"/soil/","kind":"safe","timeout_s":1,"aim_s":1,"priority":1,)"
+         R"("service":"soil","max_attempts":2}]}]})";
+}
+
+// Sends requests until one more has reached the endpoint, and returns the answer to the last.
+CallerAnswer AnswerOnceReached(RouterDeployment& deployment, const ScriptedServer& endpoint,
+                               const CallerRequest& request) {
+  const int before = endpoint.requests();
+  CallerAnswer answer;
+  for (int tries = 0; endpoint.requests() == before && tries < kMaxTries; ++tries) {
+    answer = deployment.SendRequest(0, request);
+    std::this_thread::sleep_for(kPause);
+  }
+  CHECK(endpoint.requests() > before);
+  return answer;
+}
+
 }  // namespace
 
 TEST_CASE("an answer with a status that is no final one is not passed on") {
@@ -133,3 +161,52 @@
     CHECK(answer.body == "body");
   }
 }
+
+// Guards against a broken answer that is taken for one where it is not the first that is read, and
+// for kinds of requests that are sent again.
+TEST_CASE("a broken answer is not passed on to any kind of request, nor behind other answers") {
+  constexpr std::size_t kLongBody = std::size_t{8} << 20;
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n";
+  const std::string no_status = std::string{"HTTP/1.1 000 Reason\r\n"} + kFields + kBody;
+  const std::string no_length = std::string{"HTTP/1.1 200 OK\r\n"} + kFields + "\r\nbo";
+  const Script full{std::string{"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"} + kFields + kBody};
+  struct Row {
+    std::string name;
+    Script script;
+    std::size_t body_bytes;
+  };
+  const Row rows[] = {
+      {"status 000", {no_status, ScriptEnd::kClose}, 4},
+      {"status 000 behind an interim answer", {interim + no_status, ScriptEnd::kClose}, 4},
+      {"status 000, and the connection is kept", {no_status}, 4},
+      {"reset during the upload", {no_length, ScriptEnd::kReset, true}, kLongBody},
+      {"reset during the upload, behind an interim answer",
+       {interim + no_length, ScriptEnd::kReset, true},
+       kLongBody},
+  };
+  for (const Row& row : rows) {
+    for (const bool second_try : {false, true}) {
+      CAPTURE(row.name);
+      CAPTURE(second_try);
+      ScriptedServer broken{row.script};
+      // Declines, so that requests are sent on to the other endpoint.
+      ScriptedServer declining{full};
+      RouterDeployment deployment{1, 1, 0};
+      deployment.store.Put("op/config", ConfigWithAllKinds());
+      deployment.RegisterPumpAt("broken", broken.address());
+      if (second_try) {
+        deployment.RegisterPumpAt("declining", declining.address());
+      }
+      REQUIRE(deployment.WaitUntilServed());
+      for (const std::string kind : {"safe", "unsafe", "upload"}) {
+        CAPTURE(kind);
+        const CallerAnswer answer = AnswerOnceReached(
+            deployment, broken,
+            {.path = "/" + kind + "/1", .method = "PUT", .body = std::string(row.body_bytes, 'x')});
+        // A request that may be repeated can end with the refusal by the other endpoint.
+        const bool declined = second_try && kind == "safe" && answer.status == 503;
+        CHECK((answer.status == 502 || declined));
+      }
+    }
+  }
+}
--- a/tests/router/key_service_test.cc
+++ b/tests/router/key_service_test.cc
@@ -12,6 +12,7 @@
 
 #include "clock/system_clock.h"
 #include "core/endpoint_fleet.h"
+#include "fakes/scripted_server.h"
 #include "platform/order_format.h"
 #include "router/daemon_message.h"
 #include "router/record_codec.h"
@@ -67,6 +68,17 @@
     fleet_.Put(Entry("first", first.address(), draining), BootNow());
     fleet_.Put(Entry("second", second.address(), false), BootNow());
   }
+  // Lists only this endpoint, instead of both.
+  void PutOnly(const std::string& id, const NetworkAddress& address) {
+    fleet_.Remove(InstanceId{"first"}, BootNow());
+    fleet_.Remove(InstanceId{"second"}, BootNow());
+    fleet_.Put(Entry(id, address, false), BootNow());
+  }
+  // Whether some endpoint has confirmed that it holds the first key.
+  bool ServesFirstKey() {
+    return !service_.PrepareAnnouncements(1, BootNow()).empty() &&
+           service_.routes().OwnerOf(0, BootNow()).has_value();
+  }
   // Runs the daemon until the condition holds, for 5 s at most; returns whether it does.
   template <typename Condition>
   bool RunUntil(Condition condition) {
@@ -183,6 +195,39 @@
   }
 }
 
+// Guards against a broken answer to a grant that is taken for a confirmation.
+TEST_CASE("only a sound answer to a grant confirms that the endpoint holds its keys") {
+  struct Row {
+    const char* name;
+    std::string head;
+    bool confirms;
+  };
+  const Row rows[] = {
+      {"sound", "HTTP/1.1 200 OK\r\n", true},
+      {"behind an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", true},
+      {"status 000", "HTTP/1.1 000 OK\r\n", false},
+      {"status 000 behind an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n",
+       false},
+      {"status above all classes", "HTTP/1.1 600 OK\r\n", false},
+      {"blank before a name", "HTTP/1.1 200 OK\r\n X-Name: value\r\n", false},
+      {"blank in a name", "HTTP/1.1 200 OK\r\nX Name: value\r\n", false},
+      {"unknown transfer coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n", false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    fakes::ScriptedServer endpoint{
+        {row.head + "X-Request-Id: @ID@\r\nContent-Length: 2\r\n\r\n{}"}};
+    KeyServiceSetup setup{{}};
+    setup.PutOnly("scripted", endpoint.address());
+    bool served = false;
+    REQUIRE(setup.RunUntil([&] {
+      served = served || setup.ServesFirstKey();
+      return served || endpoint.requests() > 2;
+    }));
+    CHECK(served == row.confirms);
+  }
+}
+
 // Guards against a daemon that renews grants for longer than the leader might have, as it was
 // frozen while the message that asked it to waited.
 TEST_CASE("the age of a hand-over includes the time for which its receiver did not run") {
