Name the end of grants during a repeated release like the other end

Cause: "outlived" is a word of its own, and the comment on the expiring phase named one of its two causes only. Change: HasExpiredDuringRelease, beside HasExpired; the comment names both. Result: no change of behaviour; the two tests of released keys pass.

--- a/src/core/key_leader.h
+++ b/src/core/key_leader.h
@@ -70,7 +70,8 @@
     kOwned,
     // The owner was asked to release the keys.
     kReleasing,
-    // The owner did not confirm the release; its grant has to expire.
+    // The owner did not confirm the release, or refused a grant: unless it is back, its grants
+    // have to expire.
     kExpiring,
     // No endpoint holds the keys; the next write names a new owner.
     kFree,
@@ -161,9 +162,9 @@
   static bool NeedsGrantBeforeRelease(const RangeState& state, Instant now);
   // Whether the owner holds the keys no longer, as its grant could not be renewed in time.
   static bool HasExpired(const RangeState& state, Instant now);
-  // Whether a repeated release is unanswered although all grants have run out, so that its answer
-  // is not needed any more.
-  static bool IsReleaseOutlived(const RangeState& state, Instant now);
+  // Whether all grants have run out while a repeated release is unanswered, so that its answer is
+  // not needed any more.
+  static bool HasExpiredDuringRelease(const RangeState& state, Instant now);
   // Whether the owner may be asked now to release the keys.
   static bool IsReleasable(const RangeState& state, const EndpointState& owner, Instant now);
   // Counts the keys that endpoints of evacuated domains own.
--- a/src/core/key_leader_orders.cc
+++ b/src/core/key_leader_orders.cc
@@ -15,7 +15,7 @@
       AdvanceOwnedRange(state, fleet, store, now);
     } else if (state.phase == RangePhase::kExpiring) {
       AdvanceExpiringRange(state, fleet, now);
-    } else if (IsReleaseOutlived(state, now)) {
+    } else if (HasExpiredDuringRelease(state, now)) {
       MarkFree(state);
     }
   }
@@ -68,7 +68,7 @@
   return state.order_failures > 1 && now >= state.held_until;
 }
 
-bool KeyLeader::IsReleaseOutlived(const RangeState& state, Instant now) {
+bool KeyLeader::HasExpiredDuringRelease(const RangeState& state, Instant now) {
   return state.phase == RangePhase::kReleasing && state.release_repeated && now >= state.held_until;
 }
 
