--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -121,6 +121,8 @@
   std::vector<StoreUpdate> store_updates;
   // The revision up to which the sender knows the store; 0 if it does not.
   Revision store_revision;
+  // The latest revision at which the sender knows an item of the operator's to have changed.
+  Revision operator_revision;
   // Whether the sender knows the store's changes of the last seconds.
   bool knows_recent_changes = false;
   // The sender's capacity relative to other daemons.
--- a/src/router/formats.h
+++ b/src/router/formats.h
@@ -100,6 +100,8 @@
  public:
   virtual ~DirectoryFormat() = default;
 
+  // What the keys of all items that the operator writes begin with.
+  virtual std::string OperatorPrefix() const = 0;
   // Whether the key holds the routing configuration.
   virtual bool IsConfigKey(const std::string& key) const = 0;
   // Whether the key holds an endpoint's entry.
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -16,6 +16,8 @@
 
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr std::chrono::milliseconds kKeyTickInterval{40};
+// Ticks that come later than this are logged.
+constexpr std::chrono::milliseconds kLoggedStall{300};
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{100};
 constexpr std::chrono::milliseconds kCrossDomainUpdateInterval{100};
 // Requests are still served if they come within this time after a stop is requested; by then
@@ -123,6 +125,7 @@
                      HandleUncaughtError("message", error);
                    }
                  }),
+      operator_revisions_(formats_.directory.OperatorPrefix()),
       cold_limiter_(settings_.instance, {settings_.cold_rate_factor, settings_.cold_rate_slack}),
       retry_budget_(settings_.retries),
       evacuations_(fleet_, log_, metrics_),
@@ -261,6 +264,7 @@
 
 void RoutingDaemon::Tick() {
   const Instant now = BootNow();
+  LogStall(now);
   last_tick_at_ = now;
   store_answered_at_ = store_watcher_.last_answer_at();
   const bool should_watch = WatchesForDomain(now);
@@ -280,6 +284,7 @@
     HandOverLeadership(now);
   }
   SendMessages(now);
+  LogMissingChange(now);
   UpdateColdLimiter(now);
   if (now >= next_cross_domain_update_at_) {
     next_cross_domain_update_at_ = now + kCrossDomainUpdateInterval;
@@ -303,6 +308,13 @@
   }
 }
 
+void RoutingDaemon::LogStall(Instant now) {
+  const Duration since_tick = now - last_tick_at_;
+  if (last_tick_at_ != Instant{} && since_tick > kLoggedStall) {
+    log_.Warning("event loop stalled ms=" + FormatMilliseconds(since_tick));
+  }
+}
+
 void RoutingDaemon::TickKeyServices(Instant now) {
   StoreView view;
   view.confirmed_at = store_watcher_.confirmed_at();
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -21,9 +21,9 @@
 #include "router/key_service.h"
 #include "router/memory_reporter.h"
 #include "router/request_relay.h"
-#include "store/store_update_log.h"
+#include "router/store_update_relay.h"
+#include "store/operator_revisions.h"
 #include "store/store_watcher.h"
-#include "store/update_progress.h"
 
 namespace sycamorestall {
 
@@ -91,7 +91,7 @@
   // Handles an entry that names no endpoint to use: it counts as removed.
   ItemEffect RejectEndpoint(const StoreItem& item, const std::string& reason,
                             const StoreStateOrigin& origin, Instant now);
-  ItemEffect ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin);
+  ItemEffect ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   ItemEffect RemoveItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   void RemoveEndpoint(const InstanceId& id, Instant now);
   // Notes that the listed run of an endpoint has ended.
@@ -101,20 +101,21 @@
   void ApplyRecordItem(const StoreItem& item);
   void ApplyRecords(Instant now);
   void AddKeyServices();
-  // Whether this daemon can make up for updates that others missed.
-  bool KnowsRecentChanges(Instant now) const;
   // Whether this daemon watches the store for its domain.
   bool WatchesForDomain(Instant now) const;
   // Whether this daemon leads any service; a leader always watches the store itself.
   bool LeadsAnyService() const;
   // Forwards store updates to the other daemons of the domain.
   void SendStoreUpdates(Instant now);
-  std::vector<DaemonMessage> MakeStoreUpdates(const UpdateProgress::Start& start,
-                                              Instant now) const;
   // The other daemons of the domain, with the revision that each has confirmed. For one that is
   // not heard, the revision of some seconds ago is taken for confirmed.
   std::map<InstanceId, Revision> Followers(Instant now) const;
   void HandleMessage(const DaemonMessage& message);
+  void HandleStoreUpdate(const StoreUpdate& update, const InstanceId& sender, Instant now);
+  // Logs a change of the operator's that peers have known for some time, and why it is missing.
+  void LogMissingChange(Instant now);
+  // Logs that the event loop was held up.
+  void LogStall(Instant now);
   // Runs the event loop until it is stopped. An error that leaves a handler ends what that handler
   // was doing, not the daemon.
   void RunEventLoop();
@@ -183,18 +184,21 @@
   ConnectionPool pool_;
   std::unique_ptr<Store> store_;
   StoreWatcher store_watcher_;
-  StoreUpdateLog update_log_;
-  UpdateProgress update_progress_;
   // When the store gave the answer behind what was known at the latest tick.
   Instant store_answered_at_;
   // The era of the applied items.
   StoreEra store_era_;
   bool watches_for_domain_ = true;
-  Instant next_store_update_at_;
   DaemonRegistry registry_;
   CrashingRequests crashing_requests_;
   CrashRegistry crash_registry_;
   DaemonTransport transport_;
+  Metrics metrics_;
+  StoreUpdateRelay update_relay_{settings_.instance, store_watcher_, transport_, metrics_,
+                                 [this](const std::string& text) { log_.Info(text); }};
+  OperatorRevisions operator_revisions_;
+  // The latest missing change of the operator's that was logged.
+  Revision logged_missing_change_;
   EndpointFleet fleet_;
   EndpointHashes endpoint_hashes_;
   EndpointHistory endpoint_history_;
@@ -207,7 +211,6 @@
   CrossDomainPolicy cross_domain_{settings_.domain};
   CrossDomainChooser chooser_{cross_domain_};
   SlidingWindowRetryBudget retry_budget_;
-  Metrics metrics_;
   ComponentLog request_log_{"request"};
   ComponentLog log_{"daemon"};
   EvacuationRegistry evacuations_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -12,18 +12,15 @@
 
 namespace {
 
-// A daemon that watches the store updates the others of its domain at least this often.
-constexpr std::chrono::milliseconds kStoreUpdateInterval{400};
 constexpr std::chrono::milliseconds kUnregisteredPeerTimeToLive{10000};
 // How often the known daemons are passed to the limiter of cold endpoints, and for how long one
 // that is not registered counts there after it was heard.
 constexpr std::chrono::milliseconds kColdUpdateInterval{200};
 constexpr std::chrono::milliseconds kColdPeerTimeToLive{5000};
-// Daemons that are not heard get the changes of this period with each update. Their gossip may be
-// lost on a congested outgoing link while updates still reach them.
-constexpr std::chrono::milliseconds kUnconfirmedUpdateTime{5000};
 // A daemon reports the store as unreachable after this time; it then cannot lead.
 constexpr std::chrono::milliseconds kStoreUnreachableDelay{600};
+// A change of the operator's that peers have known for longer is logged.
+constexpr std::chrono::milliseconds kLoggedChangeDelay{700};
 // A hand-over is sent more than once because datagrams get lost.
 constexpr int kHandOverCopies = 2;
 
@@ -141,7 +138,8 @@
   message.stopping = stop_requested_at_.has_value();
   message.store_unreachable = store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
   message.store_revision = store_watcher_.revision();
-  message.knows_recent_changes = KnowsRecentChanges(now);
+  message.operator_revision = operator_revisions_.latest();
+  message.knows_recent_changes = update_relay_.KnowsRecentChanges(now);
   message.weight = settings_.weight;
   endpoint_hashes_.Update(fleet_);
   AddLoads(message);
@@ -253,10 +251,6 @@
                      [](const auto& each) { return each.second->is_leader(); });
 }
 
-bool RoutingDaemon::KnowsRecentChanges(Instant now) const {
-  return update_log_.ReachesBackTo(now - kUnconfirmedUpdateTime);
-}
-
 bool RoutingDaemon::WatchesForDomain(Instant now) const {
   std::vector<StoreWatchCandidate> others;
   for (const auto& [id, peer] : peer_states_) {
@@ -268,48 +262,18 @@
     }
   }
   return sycamorestall::IsStoreWatcher(
-      {settings_.instance, KnowsRecentChanges(now), settings_.weight}, others);
-}
-
-std::vector<DaemonMessage> RoutingDaemon::MakeStoreUpdates(const UpdateProgress::Start& start,
-                                                           Instant now) const {
-  const auto answered_ago =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - store_watcher_.last_answer_at());
-  std::vector<DaemonMessage> messages;
-  for (StoreUpdate& update :
-       update_log_.UpdatesAfter(start.after, store_watcher_.revision(), store_watcher_.values())) {
-    update.answered_ms_ago = static_cast<std::uint32_t>(answered_ago.count());
-    update.base_assumed = start.assumed;
-    DaemonMessage message;
-    message.sender = settings_.instance;
-    message.store_updates.push_back(std::move(update));
-    messages.push_back(std::move(message));
-  }
-  return messages;
+      {settings_.instance, update_relay_.KnowsRecentChanges(now), settings_.weight}, others);
 }
 
 void RoutingDaemon::SendStoreUpdates(Instant now) {
-  update_log_.DiscardOld(now);
-  if (!watches_for_domain_ || !store_watcher_.reachable() || now < next_store_update_at_) {
-    return;
-  }
-  next_store_update_at_ = now + kStoreUpdateInterval;
-  std::map<UpdateProgress::Start, std::vector<DaemonMessage>> messages;
-  for (const auto& [id, confirmed] : Followers(now)) {
-    const UpdateProgress::Start start =
-        update_progress_.Advance(id, confirmed, store_watcher_.revision(), now);
-    const auto [entry, is_new] = messages.try_emplace(start);
-    if (is_new) {
-      entry->second = MakeStoreUpdates(start, now);
-    }
-    for (const DaemonMessage& message : entry->second) {
-      transport_.SendTo(id, message);
-    }
+  update_relay_.DiscardOld(now);
+  if (watches_for_domain_ && store_watcher_.reachable() && update_relay_.IsDue(now)) {
+    update_relay_.Send(Followers(now), now);
   }
 }
 
 std::map<InstanceId, Revision> RoutingDaemon::Followers(Instant now) const {
-  const Revision recent = update_log_.RevisionBefore(now - kUnconfirmedUpdateTime);
+  const Revision recent = update_relay_.AssumedRevision(now);
   std::map<InstanceId, Revision> followers;
   for (const auto& [id, daemon] : registry_.daemons()) {
     if (daemon.domain == settings_.domain) {
@@ -374,6 +338,33 @@
   return loads;
 }
 
+void RoutingDaemon::HandleStoreUpdate(const StoreUpdate& update, const InstanceId& sender,
+                                      Instant now) {
+  const Revision known = store_watcher_.revision();
+  const UpdateResult result = store_watcher_.ApplyUpdate(update, now);
+  metrics_.IncrementCounter("store_updates_received_total{result=\"" +
+                            std::string{ToString(result)} + "\"}");
+  if (result == UpdateResult::kGap || result == UpdateResult::kUndecodable) {
+    log_.Info("store update not applied reason=" + std::string{ToString(result)} +
+              " sender=" + sender.value() + " known=" + std::to_string(known.value) +
+              " base=" + std::to_string(update.base.value) +
+              " revision=" + std::to_string(update.revision.value));
+  }
+}
+
+void RoutingDaemon::LogMissingChange(Instant now) {
+  const auto missing = operator_revisions_.OldestMissing();
+  const bool is_due = missing && missing->revision > logged_missing_change_ &&
+                      now - missing->heard_at > kLoggedChangeDelay;
+  if (!is_due) {
+    return;
+  }
+  logged_missing_change_ = missing->revision;
+  log_.Warning("operator's change missing revision=" + std::to_string(missing->revision.value) +
+               " known=" + std::to_string(store_watcher_.revision().value) +
+               " peer=" + missing->peer.value() + " " + ToString(store_watcher_.update_state(now)));
+}
+
 void RoutingDaemon::HandleMessage(const DaemonMessage& message) {
   const Instant now = BootNow();
   // Only gossip names the sender's domain.
@@ -399,9 +390,10 @@
                                     message.knows_recent_changes,
                                     message.weight};
     store_watcher_.ObserveEra(message.store_revision.era);
+    operator_revisions_.RecordPeer(message.sender, message.operator_revision, now);
   }
   for (const StoreUpdate& update : message.store_updates) {
-    store_watcher_.ApplyUpdate(update, now);
+    HandleStoreUpdate(update, message.sender, now);
   }
   for (const ServiceDemand& demand : message.demands) {
     const auto service = key_services_.find(demand.service);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -47,8 +47,8 @@
 
 void RoutingDaemon::ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& origin) {
   const Instant now = BootNow();
-  if (!update_log_.has_begun()) {
-    update_log_.Begin(changes.revision, now);
+  if (!update_relay_.has_begun()) {
+    update_relay_.Begin(changes.revision, now);
     store_era_ = changes.revision.era;
   } else if (changes.revision.era > store_era_) {
     BeginEra(changes.revision, now);
@@ -59,31 +59,30 @@
       case ItemEffect::kNone:
         break;
       case ItemEffect::kChanged:
-        update_log_.Add(event, now);
+        update_relay_.Add(event, now);
         break;
       case ItemEffect::kRemoved:
-        update_log_.Add({{event.item.key, "", event.item.revision}, true}, now);
+        update_relay_.Add({{event.item.key, "", event.item.revision}, true}, now);
         break;
     }
   }
+  operator_revisions_.RecordApplied(changes.events);
   fleet_.FinishLoading();
   ApplyRecords(now);
-  next_store_update_at_ = now;
+  update_relay_.SendSoon(now);
 }
 
 void RoutingDaemon::BeginEra(Revision revision, Instant now) {
   log_.Warning("store came back with older contents era=" + std::to_string(revision.era.value) +
                " revision=" + std::to_string(revision.value));
   store_era_ = revision.era;
-  update_log_ = {};
-  update_log_.Begin(revision, now);
-  update_progress_ = {};
+  update_relay_.Begin(revision, now);
 }
 
 RoutingDaemon::ItemEffect RoutingDaemon::ApplyItem(const StoreItem& item,
                                                    const StoreStateOrigin& origin, Instant now) {
   if (formats_.directory.IsConfigKey(item.key)) {
-    return ApplyConfig(item, origin);
+    return ApplyConfig(item, origin, now);
   }
   if (formats_.directory.IsEndpointKey(item.key)) {
     return ApplyEndpoint(item, origin, now);
@@ -261,7 +260,7 @@
 }
 
 RoutingDaemon::ItemEffect RoutingDaemon::ApplyConfig(const StoreItem& item,
-                                                     const StoreStateOrigin& origin) {
+                                                     const StoreStateOrigin& origin, Instant now) {
   std::string reason;
   auto config = formats_.directory.ParseConfig(item.value, reason);
   if (!config) {
@@ -271,11 +270,14 @@
   if (routes_ && config->version <= routes_->config().version) {
     return ItemEffect::kNone;
   }
+  const auto missing = operator_revisions_.OldestMissing();
+  const Duration known_to_peers = missing ? now - missing->heard_at : Duration{};
   log_.Info("configuration applied version=" + std::to_string(config->version) +
             " routes=" + std::to_string(config->routes.size()) +
             " revision=" + std::to_string(item.revision.value) +
             " source=" + ToString(origin.source) + " age_ms=" + FormatMilliseconds(origin.age) +
-            " value_bytes=" + std::to_string(item.value.size()) + FormatTransfer(origin.transfer));
+            " value_bytes=" + std::to_string(item.value.size()) + FormatTransfer(origin.transfer) +
+            " peers_know_ms=" + FormatMilliseconds(known_to_peers));
   routes_ = std::make_shared<RouteTable>(std::move(*config));
   ApplyServices();
   ApplyColdTerms();
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -61,6 +61,31 @@
   return "unknown";
 }
 
+const char* ToString(UpdateResult result) {
+  switch (result) {
+    case UpdateResult::kApplied:
+      return "applied";
+    case UpdateResult::kKnown:
+      return "known";
+    case UpdateResult::kGap:
+      return "gap";
+    case UpdateResult::kUndecodable:
+      return "undecodable";
+    case UpdateResult::kIgnored:
+      return "ignored";
+  }
+  return "unknown";
+}
+
+std::string ToString(const UpdateState& state) {
+  const auto milliseconds = [](Duration time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  };
+  return "relied_on=" + std::string{state.relied_on ? "yes" : "no"} +
+         " updates_ms=" + milliseconds(state.silence) +
+         " answer_ms=" + milliseconds(state.answer_age) + " gap=" + (state.gap ? "yes" : "no");
+}
+
 StoreWatcher::StoreWatcher(Store& store, StoreObserver& observer, Clock clock)
     : store_(store), observer_(observer), clock_(clock), probe_delay_(kMinProbeDelay) {}
 
@@ -70,6 +95,11 @@
          (missing_until_ <= revision_ || now < missing_updates_expected_until_);
 }
 
+UpdateState StoreWatcher::update_state(Instant now) const {
+  return {HasFreshUpdates(now), now - last_update_at_, now - last_answer_at_,
+          missing_until_ > revision_};
+}
+
 const char* StoreWatcher::CallReason(Instant now) const {
   if (reload_needed_) {
     return "reload";
@@ -276,18 +306,18 @@
   }
 }
 
-void StoreWatcher::ApplyUpdate(const StoreUpdate& update, Instant now) {
+UpdateResult StoreWatcher::ApplyUpdate(const StoreUpdate& update, Instant now) {
   if (!loaded()) {
-    return;
+    return UpdateResult::kIgnored;
   }
   ObserveEra(update.revision.era);
   if (IsOfEarlierEra(update.revision) || IsOfEarlierEra(revision_)) {
-    return;
+    return UpdateResult::kIgnored;
   }
   last_update_at_ = now;
   if (update.base > revision_) {
     RecordGap(update, now);
-    return;
+    return UpdateResult::kGap;
   }
   std::vector<StoreEvent> events;
   for (const RelayedEvent& each : update.events) {
@@ -299,7 +329,7 @@
       // The value cannot be decompressed, so the next tick fetches the event from the store.
       missing_until_ = std::max(missing_until_, update.revision);
       missing_updates_expected_until_ = now;
-      return;
+      return UpdateResult::kUndecodable;
     }
     events.push_back(std::move(*event));
   }
@@ -308,11 +338,13 @@
   last_arrival_at_ = now;
   last_answer_at_ =
       std::max(last_answer_at_, now - std::chrono::milliseconds{update.answered_ms_ago});
-  if (update.revision > revision_ || !events.empty()) {
-    ApplyEvents(
-        events, update.revision,
-        {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}, false});
+  if (update.revision <= revision_ && events.empty()) {
+    return UpdateResult::kKnown;
   }
+  ApplyEvents(
+      events, update.revision,
+      {StoreStateSource::kRelay, std::chrono::milliseconds{update.answered_ms_ago}, {}, false});
+  return UpdateResult::kApplied;
 }
 
 void StoreWatcher::RecordCallResult(std::error_code error) {
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -27,6 +27,37 @@
   friend bool operator==(const StoreStateOrigin&, const StoreStateOrigin&) = default;
 };
 
+// What became of a relayed update.
+enum class UpdateResult {
+  kApplied,
+  // Its events were known.
+  kKnown,
+  // Updates before it are missing.
+  kGap,
+  // An event could not be decompressed.
+  kUndecodable,
+  // It is of another era, or came before the contents were loaded.
+  kIgnored,
+};
+// Returns the result's name in metrics.
+const char* ToString(UpdateResult result);
+
+// What a daemon that relies on relayed updates goes by, for the log.
+struct UpdateState {
+  // Whether updates replace the daemon's own calls.
+  bool relied_on = false;
+  // Time since the latest update.
+  Duration silence{};
+  // Time since the store answer behind what is known.
+  Duration answer_age{};
+  // Whether updates are known to be missing.
+  bool gap = false;
+
+  friend bool operator==(const UpdateState&, const UpdateState&) = default;
+};
+// Formats the state as fields of a log line.
+std::string ToString(const UpdateState& state);
+
 // A finished read or watch, for the log.
 struct StoreCallRecord {
   StoreStateSource call = StoreStateSource::kRead;
@@ -78,7 +109,7 @@
   // changes that were known may have been lost.
   void ObserveEra(StoreEra era);
   // Applies an update relayed by another daemon.
-  void ApplyUpdate(const StoreUpdate& update, Instant now);
+  UpdateResult ApplyUpdate(const StoreUpdate& update, Instant now);
   // Derives reachability from a store call made elsewhere in this daemon. Ignored unless relayed
   // updates replace the watch.
   void RecordCallResult(std::error_code error);
@@ -102,6 +133,7 @@
   // Whether the contents have been read at least once.
   bool loaded() const { return revision_.value != 0; }
   Revision revision() const { return revision_; }
+  UpdateState update_state(Instant now) const;
   // The recent versions of large values.
   const ValueHistory& values() const { return values_; }
 
--- a/src/store/update_progress.cc
+++ b/src/store/update_progress.cc
@@ -16,12 +16,13 @@
   Sent& sent = sent_[receiver];
   const bool in_transit = sent.until > confirmed && now - sent.all_sent_at < kResendDelay;
   if (in_transit) {
-    const Start start{sent.until, true};
+    const Start start{sent.until, true, false};
     sent.until = std::max(sent.until, until);
     return start;
   }
+  const bool resent = sent.until > confirmed;
   sent = {std::max(confirmed, until), now};
-  return {confirmed, false};
+  return {confirmed, false, resent};
 }
 
 }  // namespace sycamorestall
--- a/src/store/update_progress.h
+++ b/src/store/update_progress.h
@@ -16,6 +16,8 @@
     Revision after;
     // Whether the receiver has not confirmed this revision yet.
     bool assumed = false;
+    // Whether what follows was sent before, and not confirmed in time.
+    bool resent = false;
 
     // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Start&, const Start&) = default;
