--- a/tests/fakes/key_value_store.cc
+++ b/tests/fakes/key_value_store.cc
@@ -127,6 +127,11 @@
   fault_ = fault;
 }
 
+void KeyValueStore::SetWriteFilter(WriteFilter filter) {
+  const std::lock_guard lock{mutex_};
+  write_filter_ = std::move(filter);
+}
+
 void KeyValueStore::CompactHistory() {
   const std::lock_guard lock{mutex_};
   history_.clear();
@@ -242,8 +247,9 @@
   ++revision_;
   for (const json& row : body.at("puts")) {
     const std::uint64_t lease = row.value("lease", std::uint64_t{0});
-    WriteItem(row.at("key").get<std::string>(), DecodeBase64(row.at("value").get<std::string>()),
-              lease);
+    const std::string key = row.at("key").get<std::string>();
+    std::string value = DecodeBase64(row.at("value").get<std::string>());
+    WriteItem(key, write_filter_ ? write_filter_(key, std::move(value)) : value, lease);
   }
   if (fault_ != StoreFault::kAnswersLost) {
     Answer(exchange, 200, {{"revision", revision_}});
--- a/tests/fakes/key_value_store.h
+++ b/tests/fakes/key_value_store.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,9 @@
   // Returns the keys that begin with the prefix.
   std::vector<std::string> KeysWithPrefix(const std::string& prefix);
   void SetFault(StoreFault fault);
+  // Changes the values that daemons write, by key, on their way into the store.
+  using WriteFilter = std::function<std::string(const std::string& key, std::string value)>;
+  void SetWriteFilter(WriteFilter filter);
   // Discards the history of changes; watches from older revisions get 410 and must read
   // the items again.
   void CompactHistory();
@@ -108,6 +112,7 @@
   std::vector<Watch> watches_;
   Copy copy_;
   StoreFault fault_ = StoreFault::kNone;
+  WriteFilter write_filter_;
   // Exchanges without an answer, kept so that their connections stay open.
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;
   bool stopping_ = false;
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -161,6 +161,9 @@
         << "peer = " << TomlLoopbackAddress(daemon.peer_port) << daemon_settings
         << "[store]\naddress = " << TomlLoopbackAddress(AddressThroughProxy(store.address()).port)
         << "[endpoints]\nevacuation_s = 5\ncold_rate_factor = 1.5\ncold_rate_slack = 8\n";
+    if (connection_kind_ == ConnectionKind::kAllProxied) {
+      AddPeerProxy(name, daemon.peer_port);
+    }
     daemons_.push_back(daemon);
     StartDaemon(daemons_.size() - 1);
   }
@@ -219,11 +222,28 @@
 }
 
 void RouterDeployment::AddProxyFor(const fakes::KeyEndpoint& endpoint) {
-  if (connection_kind_ == ConnectionKind::kProxied) {
+  if (connection_kind_ != ConnectionKind::kDirect) {
     proxy_addresses_[endpoint.id()] = AddressThroughProxy(endpoint.address());
   }
 }
 
+void RouterDeployment::AddPeerProxy(const std::string& daemon, std::uint16_t peer_port) {
+  const auto seed = static_cast<std::uint32_t>(peer_proxies_.size() + 1);
+  peer_proxies_.push_back(
+      std::make_unique<fakes::DatagramProxy>(NetworkAddress{"127.0.0.1", peer_port}, seed));
+  registered_ports_["sycamorestall/daemons/" + daemon] = peer_proxies_.back()->address().port;
+  store.SetWriteFilter(
+      [ports = registered_ports_](const std::string& key, const std::string& value) {
+        const auto port = ports.find(key);
+        if (port == ports.end()) {
+          return value;
+        }
+        json entry = json::parse(value);
+        entry["port"] = port->second;
+        return entry.dump();
+      });
+}
+
 void RouterDeployment::SendSignal(std::size_t number, int signal) {
   kill(daemons_.at(number).pid, signal);
 }
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "fakes/datagram_proxy.h"
 #include "fakes/fault_proxy.h"
 #include "fakes/key_endpoint.h"
 #include "fakes/key_value_store.h"
@@ -33,8 +34,14 @@
   std::string body = {};
 };
 
-// How daemons reach the store and the endpoints.
-enum class ConnectionKind { kDirect, kProxied };
+// How daemons reach the store, the endpoints and each other.
+enum class ConnectionKind {
+  kDirect,
+  // The store and the endpoints through proxies.
+  kProxied,
+  // Each other through proxies as well.
+  kAllProxied,
+};
 
 // Runs routing daemons as processes against a fake store and fake endpoints. Endpoints of
 // the service soil own keys and its requests are safe; those of pumps own no keys and its
@@ -94,6 +101,8 @@
                          std::chrono::milliseconds time);
   // The proxy of a daemon's connections to the store.
   fakes::FaultProxy& StoreProxy(std::size_t daemon);
+  // The proxy of the datagrams that other daemons send to a daemon.
+  fakes::DatagramProxy& PeerProxy(std::size_t daemon) { return *peer_proxies_.at(daemon); }
   std::string FetchMetrics(std::size_t daemon);
 
   // The requests per second that endpoints bear for 3 s after a start, by the configurations
@@ -119,10 +128,15 @@
   // The address of a new proxy in front of the target, or the target if proxies are off.
   NetworkAddress AddressThroughProxy(const NetworkAddress& target);
   void AddProxyFor(const fakes::KeyEndpoint& endpoint);
+  // Makes the store hold a daemon's registration with the address of a new proxy.
+  void AddPeerProxy(const std::string& daemon, std::uint16_t peer_port);
 
   const ConnectionKind connection_kind_;
   // The proxy addresses of endpoints, by endpoint id.
   std::map<std::string, NetworkAddress> proxy_addresses_;
+  std::vector<std::unique_ptr<fakes::DatagramProxy>> peer_proxies_;
+  // The ports under which the store lists daemons that have a proxy, by key.
+  std::map<std::string, std::uint16_t> registered_ports_;
   std::string directory_;
   std::vector<Daemon> daemons_;
   int next_id_ = 1;
