Ask for lost store updates at once

Callers saw requests routed by an old configuration for over 2 s at daemons behind full links. Cause: a lost update was sent again 1.0 to 1.4 s later, when no confirmation had come, and the gap that it left was waited for 1.2 s; the time until the watching daemon heard of the change came before that. One loss used up the bound. Change: a daemon that finds a gap, or hears that a peer knows a later change of the operator's, asks that peer for what follows its own revision, after 0 and 60 ms, and again every 200 ms. Any daemon answers, at most every 150 ms and with 64 KB a second to one receiver.

--- a/src/router/daemon_message.cc
+++ b/src/router/daemon_message.cc
@@ -169,7 +169,7 @@
                    message.announcements, message.not_owner_reports, message.drain_reports,
                    message.leadership_hand_overs, message.store_updates, message.store_revision,
                    message.knows_recent_changes, message.weight, message.service_times,
-                   message.crash_reports, message.operator_revision);
+                   message.crash_reports, message.operator_revision, message.update_requests);
 }
 
 namespace {
@@ -180,7 +180,7 @@
 constexpr std::uint32_t kMaxMessageBytes = 512U * 1024;
 
 // The first byte of each datagram. It tells messages of this encoding from others.
-constexpr std::uint8_t kEncodingVersion = 0xd3;
+constexpr std::uint8_t kEncodingVersion = 0xd4;
 
 // Throws an exception if the bytes are not a message.
 DaemonMessage ReadMessage(std::string_view bytes) {
--- a/src/router/daemon_message.h
+++ b/src/router/daemon_message.h
@@ -91,6 +91,17 @@
   InstanceId endpoint;
 };
 
+// Asks a daemon for the store updates after a revision, as some did not arrive.
+struct UpdateRequest {
+  Revision known;
+
+  // Serialization by cereal.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(known);
+  }
+};
+
 // Asks a daemon to renew a stopping leader's grants while the store is unreachable.
 struct LeadershipHandOver {
   ServiceName service;
@@ -119,6 +130,7 @@
   std::vector<DrainReport> drain_reports;
   std::vector<LeadershipHandOver> leadership_hand_overs;
   std::vector<StoreUpdate> store_updates;
+  std::vector<UpdateRequest> update_requests;
   // The revision up to which the sender knows the store; 0 if it does not.
   Revision store_revision;
   // The latest revision at which the sender knows an item of the operator's to have changed.
--- a/src/router/daemon_transport.cc
+++ b/src/router/daemon_transport.cc
@@ -51,11 +51,14 @@
   }
 }
 
-void DaemonTransport::SendTo(const InstanceId& peer, const DaemonMessage& message) {
+std::size_t DaemonTransport::SendTo(const InstanceId& peer, const DaemonMessage& message) {
   const auto found = peers_.find(peer);
-  if (found != peers_.end()) {
-    Send(EncodeMessage(message), found->second);
+  if (found == peers_.end()) {
+    return 0;
   }
+  const std::string datagram = EncodeMessage(message);
+  Send(datagram, found->second);
+  return datagram.size();
 }
 
 }  // namespace sycamorestall
--- a/src/router/daemon_transport.h
+++ b/src/router/daemon_transport.h
@@ -25,8 +25,9 @@
   std::size_t peer_count() const { return peers_.size(); }
   // Sends a message to every peer.
   void SendToAll(const DaemonMessage& message);
-  // Sends a message to one peer; does nothing if its address is not known.
-  void SendTo(const InstanceId& peer, const DaemonMessage& message);
+  // Sends a message to one peer; does nothing if its address is not known. Returns the number of
+  // bytes sent.
+  std::size_t SendTo(const InstanceId& peer, const DaemonMessage& message);
 
  private:
   void ReceiveNext();
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -284,6 +284,7 @@
     HandOverLeadership(now);
   }
   SendMessages(now);
+  RequestMissingUpdates(now);
   LogMissingChange(now);
   UpdateColdLimiter(now);
   if (now >= next_cross_domain_update_at_) {
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -24,6 +24,7 @@
 #include "router/store_update_relay.h"
 #include "store/operator_revisions.h"
 #include "store/store_watcher.h"
+#include "store/update_request_schedule.h"
 
 namespace sycamorestall {
 
@@ -111,6 +112,8 @@
   // not heard, the revision of some seconds ago is taken for confirmed.
   std::map<InstanceId, Revision> Followers(Instant now) const;
   void HandleMessage(const DaemonMessage& message);
+  // Asks another daemon for store updates that did not arrive.
+  void RequestMissingUpdates(Instant now);
   void HandleStoreUpdate(const StoreUpdate& update, const InstanceId& sender, Instant now);
   // Logs a change of the operator's that peers have known for some time, and why it is missing.
   void LogMissingChange(Instant now);
@@ -196,6 +199,7 @@
   Metrics metrics_;
   StoreUpdateRelay update_relay_{settings_.instance, store_watcher_, transport_, metrics_,
                                  [this](const std::string& text) { log_.Info(text); }};
+  UpdateRequestSchedule update_requests_;
   OperatorRevisions operator_revisions_;
   // The latest missing change of the operator's that was logged.
   Revision logged_missing_change_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -345,6 +345,7 @@
   metrics_.IncrementCounter("store_updates_received_total{result=\"" +
                             std::string{ToString(result)} + "\"}");
   if (result == UpdateResult::kGap || result == UpdateResult::kUndecodable) {
+    update_requests_.RecordGap(sender);
     log_.Info("store update not applied reason=" + std::string{ToString(result)} +
               " sender=" + sender.value() + " known=" + std::to_string(known.value) +
               " base=" + std::to_string(update.base.value) +
@@ -352,6 +353,24 @@
   }
 }
 
+void RoutingDaemon::RequestMissingUpdates(Instant now) {
+  if (!store_watcher_.loaded()) {
+    return;
+  }
+  MissingUpdates missing;
+  missing.gap = !watches_for_domain_ && store_watcher_.update_state(now).gap;
+  missing.change = operator_revisions_.OldestMissing();
+  const auto peer = update_requests_.Next(missing, now);
+  if (!peer) {
+    return;
+  }
+  metrics_.IncrementCounter("store_updates_requested_total");
+  DaemonMessage message;
+  message.sender = settings_.instance;
+  message.update_requests.push_back({store_watcher_.revision()});
+  transport_.SendTo(*peer, message);
+}
+
 void RoutingDaemon::LogMissingChange(Instant now) {
   const auto missing = operator_revisions_.OldestMissing();
   const bool is_due = missing && missing->revision > logged_missing_change_ &&
@@ -395,6 +414,9 @@
   for (const StoreUpdate& update : message.store_updates) {
     HandleStoreUpdate(update, message.sender, now);
   }
+  for (const UpdateRequest& request : message.update_requests) {
+    update_relay_.Answer(message.sender, request.known, now);
+  }
   for (const ServiceDemand& demand : message.demands) {
     const auto service = key_services_.find(demand.service);
     if (service != key_services_.end()) {
--- a/src/router/store_update_relay.h
+++ b/src/router/store_update_relay.h
@@ -42,10 +42,15 @@
   bool IsDue(Instant now) const { return now >= next_send_at_; }
   // Sends updates to receivers, each with the revision that it has confirmed.
   void Send(const std::map<InstanceId, Revision>& receivers, Instant now);
+  // Sends a daemon the updates after the revision that it knows, unless it has just got some.
+  void Answer(const InstanceId& receiver, Revision known, Instant now);
   // Forgets changes that are too old to be sent.
   void DiscardOld(Instant now) { log_.DiscardOld(now); }
 
  private:
+  // Sends the messages, which begin at the given place, to a receiver. Returns their size in bytes.
+  std::size_t SendTo(const InstanceId& receiver, const UpdateProgress::Start& start,
+                     const std::vector<DaemonMessage>& messages);
   std::vector<DaemonMessage> MakeMessages(const UpdateProgress::Start& start, Instant now) const;
 
   const InstanceId self_;
@@ -56,6 +61,8 @@
   StoreUpdateLog log_;
   UpdateProgress progress_;
   Instant next_send_at_;
+  // When requests of a daemon are answered again.
+  std::map<InstanceId, Instant> next_answer_at_;
 };
 
 }  // namespace sycamorestall
--- a/src/store/update_progress.cc
+++ b/src/store/update_progress.cc
@@ -20,9 +20,15 @@
     sent.until = std::max(sent.until, until);
     return start;
   }
-  const bool resent = sent.until > confirmed;
-  sent = {std::max(confirmed, until), now};
-  return {confirmed, false, resent};
+  return Restart(receiver, confirmed, until, now);
+}
+
+UpdateProgress::Start UpdateProgress::Restart(const InstanceId& receiver, Revision known,
+                                              Revision until, Instant now) {
+  Sent& sent = sent_[receiver];
+  const bool resent = sent.until > known;
+  sent = {std::max(known, until), now};
+  return {known, false, resent};
 }
 
 }  // namespace sycamorestall
--- a/src/store/update_progress.h
+++ b/src/store/update_progress.h
@@ -27,6 +27,9 @@
   // that the update reaches up to `until`.
   Start Advance(const InstanceId& receiver, Revision confirmed, Revision until, Instant now);
 
+  // The same for a receiver that asks for all after a revision.
+  Start Restart(const InstanceId& receiver, Revision known, Revision until, Instant now);
+
  private:
   struct Sent {
     Revision until;
