End a daemon's reliance on updates that lack a change its peers know

Callers saw an old configuration until a daemon's updates were 1.65 s old or a gap had been waited for, although the whole group knew the new one. Cause: whether a daemon trusts the updates of its domain's watching daemon depended on nothing but these updates. Change: gossip, which comes from all daemons of all domains, says up to which revision each knows the operator's items. A daemon that misses such a change for 0.4 s calls the store itself; if its updates seemed to have brought the change, it reads everything, once.

--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -109,7 +109,7 @@
       memory_(std::make_shared<MemoryAccount>(MaxHeldBytes(settings_.max_memory_bytes))),
       pool_(context_, memory_),
       store_(make_store(pool_)),
-      store_watcher_(*store_, *this, BootNow),
+      store_watcher_(*store_, *this, BootNow, formats_.directory.OperatorPrefix()),
       registry_(
           *store_, settings_.instance,
           RegisteredDaemon{settings_.peer, settings_.weight, settings_.domain},
@@ -125,7 +125,6 @@
                      HandleUncaughtError("message", error);
                    }
                  }),
-      operator_revisions_(formats_.directory.OperatorPrefix()),
       cold_limiter_(settings_.instance, {settings_.cold_rate_factor, settings_.cold_rate_slack}),
       retry_budget_(settings_.retries),
       evacuations_(fleet_, log_, metrics_),
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -22,7 +22,6 @@
 #include "router/memory_reporter.h"
 #include "router/request_relay.h"
 #include "router/store_update_relay.h"
-#include "store/operator_revisions.h"
 #include "store/store_watcher.h"
 #include "store/update_request_schedule.h"
 
@@ -200,7 +199,6 @@
   StoreUpdateRelay update_relay_{settings_.instance, store_watcher_, transport_, metrics_,
                                  [this](const std::string& text) { log_.Info(text); }};
   UpdateRequestSchedule update_requests_;
-  OperatorRevisions operator_revisions_;
   // The latest missing change of the operator's that was logged.
   Revision logged_missing_change_;
   EndpointFleet fleet_;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -138,7 +138,7 @@
   message.stopping = stop_requested_at_.has_value();
   message.store_unreachable = store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
   message.store_revision = store_watcher_.revision();
-  message.operator_revision = operator_revisions_.latest();
+  message.operator_revision = store_watcher_.operator_revisions().latest();
   message.knows_recent_changes = update_relay_.KnowsRecentChanges(now);
   message.weight = settings_.weight;
   endpoint_hashes_.Update(fleet_);
@@ -359,7 +359,7 @@
   }
   MissingUpdates missing;
   missing.gap = !watches_for_domain_ && store_watcher_.update_state(now).gap;
-  missing.change = operator_revisions_.OldestMissing();
+  missing.change = store_watcher_.operator_revisions().OldestMissing();
   const auto peer = update_requests_.Next(missing, now);
   if (!peer) {
     return;
@@ -372,7 +372,7 @@
 }
 
 void RoutingDaemon::LogMissingChange(Instant now) {
-  const auto missing = operator_revisions_.OldestMissing();
+  const auto missing = store_watcher_.operator_revisions().OldestMissing();
   const bool is_due = missing && missing->revision > logged_missing_change_ &&
                       now - missing->heard_at > kLoggedChangeDelay;
   if (!is_due) {
@@ -409,7 +409,7 @@
                                     message.knows_recent_changes,
                                     message.weight};
     store_watcher_.ObserveEra(message.store_revision.era);
-    operator_revisions_.RecordPeer(message.sender, message.operator_revision, now);
+    store_watcher_.RecordPeerChange(message.sender, message.operator_revision, now);
   }
   for (const StoreUpdate& update : message.store_updates) {
     HandleStoreUpdate(update, message.sender, now);
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -66,7 +66,6 @@
         break;
     }
   }
-  operator_revisions_.RecordApplied(changes.events);
   fleet_.FinishLoading();
   ApplyRecords(now);
   update_relay_.SendSoon(now);
@@ -270,7 +269,7 @@
   if (routes_ && config->version <= routes_->config().version) {
     return ItemEffect::kNone;
   }
-  const auto missing = operator_revisions_.OldestMissing();
+  const auto missing = store_watcher_.operator_revisions().OldestMissing();
   const Duration known_to_peers = missing ? now - missing->heard_at : Duration{};
   log_.Info("configuration applied version=" + std::to_string(config->version) +
             " routes=" + std::to_string(config->routes.size()) +
--- a/src/store/operator_revisions.cc
+++ b/src/store/operator_revisions.cc
@@ -13,8 +13,13 @@
   ForgetKnown();
 }
 
+void OperatorRevisions::RecordRead(Revision revision) {
+  read_until_ = std::max(read_until_, revision);
+  ForgetKnown();
+}
+
 void OperatorRevisions::RecordPeer(const InstanceId& peer, Revision revision, Instant now) {
-  if (revision > latest_) {
+  if (revision > std::max(latest_, read_until_)) {
     missing_.try_emplace(revision, Missing{revision, peer, now});
   }
 }
@@ -24,7 +29,7 @@
 }
 
 void OperatorRevisions::ForgetKnown() {
-  missing_.erase(missing_.begin(), missing_.upper_bound(latest_));
+  missing_.erase(missing_.begin(), missing_.upper_bound(std::max(latest_, read_until_)));
 }
 
 }  // namespace sycamorestall
--- a/src/store/operator_revisions.h
+++ b/src/store/operator_revisions.h
@@ -32,6 +32,8 @@
   const std::string& prefix() const { return prefix_; }
   // Notes events that were applied here.
   void RecordApplied(const std::vector<StoreEvent>& events);
+  // Notes that this daemon has read all items at a revision, so that nothing up to it is missing.
+  void RecordRead(Revision revision);
   // Notes the latest revision that a peer knows.
   void RecordPeer(const InstanceId& peer, Revision revision, Instant now);
 
@@ -45,6 +47,7 @@
 
   const std::string prefix_;
   Revision latest_;
+  Revision read_until_;
   std::map<Revision, Missing> missing_;
 };
 
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -37,6 +37,8 @@
 constexpr std::chrono::milliseconds kMaxAnswerAge{1650};
 // Missing updates that will be sent again are waited for this long.
 constexpr std::chrono::milliseconds kResendWait{1200};
+// A change of the operator's that a peer knows is waited for this long.
+constexpr std::chrono::milliseconds kChangeWait{400};
 
 // A watch may return this much more than all contents. Giving it up for a read costs a second
 // round trip, in which a slow link carries about as much.
@@ -86,11 +88,21 @@
          " answer_ms=" + milliseconds(state.answer_age) + " gap=" + (state.gap ? "yes" : "no");
 }
 
-StoreWatcher::StoreWatcher(Store& store, StoreObserver& observer, Clock clock)
-    : store_(store), observer_(observer), clock_(clock), probe_delay_(kMinProbeDelay) {}
+StoreWatcher::StoreWatcher(Store& store, StoreObserver& observer, Clock clock,
+                           std::string operator_prefix)
+    : store_(store),
+      observer_(observer),
+      clock_(clock),
+      probe_delay_(kMinProbeDelay),
+      operator_revisions_(std::move(operator_prefix)) {}
+
+bool StoreWatcher::IsChangeOverdue(Instant now) const {
+  const auto missing = operator_revisions_.OldestMissing();
+  return missing && now - missing->heard_at >= kChangeWait;
+}
 
 bool StoreWatcher::HasFreshUpdates(Instant now) const {
-  return !watching_ && now - last_update_at_ < kMaxUpdateSilence &&
+  return !watching_ && !IsChangeOverdue(now) && now - last_update_at_ < kMaxUpdateSilence &&
          now - last_answer_at_ < kMaxAnswerAge &&
          (missing_until_ <= revision_ || now < missing_updates_expected_until_);
 }
@@ -110,6 +122,9 @@
   if (missing_until_ > revision_) {
     return "updates missing";
   }
+  if (IsChangeOverdue(now)) {
+    return "change missing";
+  }
   return now - last_update_at_ < kMaxUpdateSilence ? "updates outdated" : "no updates";
 }
 
@@ -183,6 +198,7 @@
   ObserveEra(store_.era());
   AbandonUselessCall(now);
   ProbeIfDue(now);
+  ReloadIfIncomplete(now);
   if (call_pending_ || now < next_call_at_ || (!reload_needed_ && HasFreshUpdates(now))) {
     return;
   }
@@ -205,6 +221,13 @@
                });
 }
 
+void StoreWatcher::ReloadIfIncomplete(Instant now) {
+  const auto missing = operator_revisions_.OldestMissing();
+  if (loaded() && IsChangeOverdue(now) && missing->revision <= revision_) {
+    reload_needed_ = true;
+  }
+}
+
 void StoreWatcher::HandleReadResult(std::error_code error, const Store::Contents& contents) {
   call_pending_ = false;
   ReportCall(StoreStateSource::kRead, error, contents.revision, contents.transfer);
@@ -219,13 +242,18 @@
   }
   reload_needed_ = false;
   RecordSuccess(call_sent_at_, std::chrono::milliseconds{0});
+  std::vector<StoreEvent> events = EventsLeadingTo(contents);
   if (contents.revision < revision_) {
-    // More recent updates arrived while the read was running.
-    return;
+    // More recent updates arrived while the read was running, so that it may list items which have
+    // been removed since. Only the operator's removals are remembered.
+    std::erase_if(events, [this](const StoreEvent& each) {
+      return each.removed || !each.item.key.starts_with(operator_revisions_.prefix());
+    });
   }
   const bool restored = loaded() && contents.revision.era > revision_.era;
-  ApplyEvents(EventsLeadingTo(contents), contents.revision,
+  ApplyEvents(events, contents.revision,
               {StoreStateSource::kRead, clock_() - call_sent_at_, contents.transfer, restored});
+  operator_revisions_.RecordRead(contents.revision);
 }
 
 void StoreWatcher::HandleWatchResult(std::error_code error, const Store::Changes& changes) {
@@ -257,8 +285,7 @@
   std::set<std::string_view> listed;
   for (const StoreItem& item : contents.items) {
     listed.insert(item.key);
-    const auto known = items_.find(item.key);
-    if (known == items_.end() || known->second.revision < item.revision) {
+    if (!IsKnown(item.key, item.revision)) {
       events.push_back({item, false});
     }
   }
@@ -282,6 +309,9 @@
     if (each.removed) {
       items_.erase(each.item.key);
       values_.Remove(each.item.key);
+      if (each.item.key.starts_with(operator_revisions_.prefix())) {
+        operator_removals_[each.item.key] = each.item.revision;
+      }
     } else {
       items_[each.item.key] = {each.item.revision, each.item.value.size()};
       values_.Put(each.item, now);
@@ -289,11 +319,18 @@
   }
   revision_ = std::max(revision_, revision);
   observer_.ApplyChanges({events, revision_}, origin);
+  operator_revisions_.RecordApplied(events);
+}
+
+bool StoreWatcher::IsKnown(const std::string& key, Revision revision) const {
+  const auto item = items_.find(key);
+  const auto removal = operator_removals_.find(key);
+  return (item != items_.end() && revision <= item->second.revision) ||
+         (removal != operator_removals_.end() && revision <= removal->second);
 }
 
 bool StoreWatcher::IsNew(const std::string& key, Revision revision) const {
-  const auto known = items_.find(key);
-  return revision > revision_ && (known == items_.end() || revision > known->second.revision);
+  return revision > revision_ && !IsKnown(key, revision);
 }
 
 void StoreWatcher::RecordGap(const StoreUpdate& update, Instant now) {
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "store/operator_revisions.h"
 #include "store/store.h"
 #include "store/store_update.h"
 
@@ -98,7 +99,8 @@
  public:
   using Clock = Instant (*)();
 
-  StoreWatcher(Store& store, StoreObserver& observer, Clock clock);
+  // The keys of the operator's items begin with the prefix.
+  StoreWatcher(Store& store, StoreObserver& observer, Clock clock, std::string operator_prefix);
 
   // Starts the next store call if one is due, and abandons a slow one that updates have replaced.
   void Tick(Instant now);
@@ -110,6 +112,11 @@
   void ObserveEra(StoreEra era);
   // Applies an update relayed by another daemon.
   UpdateResult ApplyUpdate(const StoreUpdate& update, Instant now);
+  // Notes the latest change of the operator's that a peer knows. If it does not arrive soon, this
+  // daemon calls the store itself, whatever updates say.
+  void RecordPeerChange(const InstanceId& peer, Revision revision, Instant now) {
+    operator_revisions_.RecordPeer(peer, revision, now);
+  }
   // Derives reachability from a store call made elsewhere in this daemon. Ignored unless relayed
   // updates replace the watch.
   void RecordCallResult(std::error_code error);
@@ -134,18 +141,25 @@
   bool loaded() const { return revision_.value != 0; }
   Revision revision() const { return revision_; }
   UpdateState update_state(Instant now) const;
+  const OperatorRevisions& operator_revisions() const { return operator_revisions_; }
   // The recent versions of large values.
   const ValueHistory& values() const { return values_; }
 
  private:
+  // Whether peers have known a change of the operator's for too long that is missing here.
+  bool IsChangeOverdue(Instant now) const;
   // Whether relayed updates are recent and complete enough to replace the watch.
   bool HasFreshUpdates(Instant now) const;
+  // Has all read anew if a change is missing although all up to its revision seems to be known.
+  void ReloadIfIncomplete(Instant now);
   void HandleReadResult(std::error_code error, const Store::Contents& contents);
   void HandleWatchResult(std::error_code error, const Store::Changes& changes);
   // Whether a result belongs to an era before the latest one known.
   bool IsOfEarlierEra(Revision revision) const { return revision.era < latest_era_; }
   // The events that lead from the known items to the contents.
   std::vector<StoreEvent> EventsLeadingTo(const Store::Contents& contents) const;
+  // Whether an event of the key at the revision, or a later one, was applied.
+  bool IsKnown(const std::string& key, Revision revision) const;
   // Whether an event of the key at the revision is not known yet.
   bool IsNew(const std::string& key, Revision revision) const;
   // Notes that events up to the revision of the update are missing.
@@ -211,7 +225,10 @@
     std::size_t value_bytes = 0;
   };
   std::map<std::string, KnownItem> items_;
+  // The latest removal of each of the operator's items.
+  std::map<std::string, Revision> operator_removals_;
   ValueHistory values_;
+  OperatorRevisions operator_revisions_;
   // Relayed events up to this revision may be missing here. They are waited for until the given
   // time if they will be sent again.
   Revision missing_until_;
--- a/tests/store/store_update_log_test.cc
+++ b/tests/store/store_update_log_test.cc
@@ -46,7 +46,7 @@
   }
 
   ScriptedStore store;
-  StoreWatcher watcher{store, *this, [] { return g_now; }};
+  StoreWatcher watcher{store, *this, [] { return g_now; }, "op/"};
   StoreUpdateLog log;
   std::map<std::string, std::string> items;
 };
--- a/tests/store/store_watcher_test.cc
+++ b/tests/store/store_watcher_test.cc
@@ -92,7 +92,7 @@
 
   ScriptedStore store;
   RecordingObserver observer;
-  StoreWatcher watcher{store, observer, [] { return g_now; }};
+  StoreWatcher watcher{store, observer, [] { return g_now; }, "op/"};
 };
 
 }  // namespace
@@ -328,7 +328,7 @@
 
   ScriptedStore store;
   RecordingObserver observer;
-  StoreWatcher watcher{store, observer, [] { return g_now; }};
+  StoreWatcher watcher{store, observer, [] { return g_now; }, "op/"};
 };
 
 }  // namespace
@@ -499,3 +499,57 @@
   CHECK(waited.back() > milliseconds{3000});
   receiver.store.SetAnswerDueAt(Instant::max());
 }
+
+TEST_CASE("a daemon that misses a change which its peers know asks the store itself") {
+  struct Row {
+    std::string name;
+    // The revision up to which updates seem to be complete, and that of the change.
+    std::uint64_t updated_until;
+    std::uint64_t change;
+    milliseconds waited;
+    bool expected_watching;
+    bool expected_reading;
+  };
+  const Row rows[] = {
+      {"not for long", 11, 12, milliseconds{300}, false, false},
+      {"for long", 11, 12, milliseconds{500}, true, false},
+      {"updates seem to have brought it", 13, 12, milliseconds{500}, false, true},
+      {"read before", 13, 10, milliseconds{2000}, false, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    UpdateReceiver receiver;
+    receiver.watcher.ApplyUpdate(MakeUpdate(10, row.updated_until, {}), g_now);
+    receiver.watcher.RecordPeerChange(InstanceId{"peer"}, {row.change}, g_now);
+    receiver.Advance(row.waited, milliseconds{400});
+    CHECK(receiver.store.watching() == row.expected_watching);
+    CHECK(receiver.store.reading() == row.expected_reading);
+  }
+}
+
+TEST_CASE("a change that updates left out is applied once all has been read") {
+  struct Row {
+    std::string name;
+    // The revision of the read, and the one that updates have reached meanwhile.
+    std::uint64_t read_at;
+    std::uint64_t updated_until;
+  };
+  const Row rows[] = {{"read later than the updates", 14, 13},
+                      {"updates came during the read", 13, 15}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    UpdateReceiver receiver;
+    receiver.watcher.ApplyUpdate(MakeUpdate(10, 13, {}), g_now);
+    receiver.watcher.RecordPeerChange(InstanceId{"peer"}, {12}, g_now);
+    receiver.Advance(milliseconds{500}, milliseconds{400});
+    REQUIRE(receiver.store.reading());
+    receiver.watcher.ApplyUpdate(MakeUpdate(13, row.updated_until, {}), g_now);
+    receiver.store.AnswerRead({{{"op/config", "new", {12}}}, {row.read_at}});
+    CHECK(receiver.observer.values == std::vector<std::string>{"new"});
+    CHECK(receiver.watcher.operator_revisions().latest() == Revision{12});
+    const int reads = receiver.store.read_count();
+    receiver.watcher.RecordPeerChange(InstanceId{"peer"}, {12}, g_now);
+    receiver.Advance(milliseconds{2000}, milliseconds{400});
+    CHECK(receiver.store.read_count() == reads);
+  }
+}
