Learn of changes from other domains while the store turns a daemon away

Callers reached endpoints that had left, or old routes, at the daemons of a domain that the store turned away, though other domains knew better. Cause: updates came from a daemon of the own domain only, and none was sent while its store call had just failed. Change: a daemon that does not reach the store asks every 0.4 s the strongest one that does and knows more, of its own domain if there is one.

--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -113,6 +113,9 @@
   // not heard, the revision of some seconds ago is taken for confirmed.
   std::map<InstanceId, Revision> Followers(Instant now) const;
   void HandleMessage(const DaemonMessage& message);
+  // The strongest daemon that reaches the store and knows more of it than this one, of the own
+  // domain if there is one; empty if none is heard.
+  std::optional<InstanceId> FindInformedPeer(Instant now) const;
   // Asks another daemon for store updates that did not arrive.
   void RequestMissingUpdates(Instant now);
   void HandleStoreUpdate(const StoreUpdate& update, const InstanceId& sender, Instant now);
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -267,7 +267,10 @@
 
 void RoutingDaemon::SendStoreUpdates(Instant now) {
   update_relay_.DiscardOld(now);
-  if (watches_for_domain_ && store_watcher_.reachable() && update_relay_.IsDue(now)) {
+  // What is known goes on being sent until the others of the domain have chosen another watcher.
+  const bool sends =
+      watches_for_domain_ && !store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
+  if (sends && update_relay_.IsDue(now)) {
     update_relay_.Send(Followers(now), now);
   }
 }
@@ -353,6 +356,21 @@
   }
 }
 
+std::optional<InstanceId> RoutingDaemon::FindInformedPeer(Instant now) const {
+  std::optional<InstanceId> informed;
+  std::pair<bool, double> best;
+  for (const auto& [id, peer] : peer_states_) {
+    const bool knows_more = IsHeard(peer, now) && !peer.stopping && !peer.store_unreachable &&
+                            peer.store_revision > store_watcher_.revision();
+    const std::pair rank{peer.domain == settings_.domain, peer.weight};
+    if (knows_more && (!informed || rank > best)) {
+      informed = id;
+      best = rank;
+    }
+  }
+  return informed;
+}
+
 void RoutingDaemon::RequestMissingUpdates(Instant now) {
   if (!store_watcher_.loaded()) {
     return;
@@ -360,6 +378,9 @@
   MissingUpdates missing;
   missing.gap = !watches_for_domain_ && store_watcher_.update_state(now).gap;
   missing.change = store_watcher_.operator_revisions().OldestMissing();
+  if (!store_watcher_.reachable()) {
+    missing.informed_peer = FindInformedPeer(now);
+  }
   const auto peer = update_requests_.Next(missing, now);
   if (!peer) {
     return;
--- a/src/store/update_request_schedule.cc
+++ b/src/store/update_request_schedule.cc
@@ -6,6 +6,8 @@
 
 // Until the answer to a request counts as lost.
 constexpr std::chrono::milliseconds kRequestInterval{200};
+// Between two requests of a daemon that cannot reach the store.
+constexpr std::chrono::milliseconds kUnreachableInterval{400};
 // The update with a change may arrive just after the gossip that tells of it.
 constexpr std::chrono::milliseconds kChangeDelay{60};
 
@@ -29,7 +31,8 @@
   const auto peer = Choose(missing, now);
   if (peer) {
     last_asked_ = peer;
-    next_request_at_ = now + kRequestInterval;
+    const bool is_missing_some = missing.gap || missing.change;
+    next_request_at_ = now + (is_missing_some ? kRequestInterval : kUnreachableInterval);
   }
   return peer;
 }
--- a/tests/router/store_watching_test.cc
+++ b/tests/router/store_watching_test.cc
@@ -136,3 +136,32 @@
   std::this_thread::sleep_for(kSettleTime);
   CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
 }
+
+TEST_CASE("a domain whose daemons the store turns away learns of changes from other domains") {
+  using Change = std::function<void(RouterDeployment&)>;
+  struct Row {
+    std::string name;
+    Change change;
+    std::string path;
+    int expected_status;
+  };
+  const Row rows[] = {
+      {"configuration", [](RouterDeployment& deployment) { deployment.WriteConfig(2, "/later/"); },
+       "/later/1", 200},
+      {"removed endpoint",
+       [](RouterDeployment& deployment) { deployment.DeregisterEndpoint(*deployment.pumps[0]); },
+       "/pumps/1", 503},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterDeployment deployment{2, 1, 1, ConnectionKind::kProxied, {}, {"north", "south"}};
+    REQUIRE(deployment.WaitUntilServed());
+    std::this_thread::sleep_for(kSettleTime);
+    deployment.StoreProxy(1).SetFault(ProxyFault::kReset);
+    std::this_thread::sleep_for(kSettleTime);
+    row.change(deployment);
+    std::this_thread::sleep_for(milliseconds{2000});
+    CHECK(deployment.SendRequest(1, {.path = row.path, .method = "POST"}).status ==
+          row.expected_status);
+  }
+}
