Tell the others of a domain of an endpoint that returned to a restored store

Callers got 503 at most daemons of a domain for an endpoint that served, after a store that came back older had lost its entry and it had written the entry again within the 2 s that it has for that. Cause: the watching daemon still knew the endpoint, so the entry changed nothing there and was not relayed; its update claimed the revision all the same, and the others removed the endpoint when the 2 s were over. Change: an entry of an endpoint that was missing counts as a change. Result: a test with two real daemons failed before (503 at the one that does not watch) and passes now.

--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -141,7 +141,7 @@
     log_.Info("outdated endpoint entry ignored id=" + entry->id.value());
     return ItemEffect::kNone;
   }
-  missing_endpoints_.erase(entry->id);
+  const bool has_returned = missing_endpoints_.erase(entry->id) > 0;
   endpoint_history_.RecordEntry(*entry);
   const EndpointState* known = fleet_.Find(entry->id);
   // Endpoints rewrite their entries periodically without changes.
@@ -150,11 +150,11 @@
     if (entry->warm_up_left > Duration{}) {
       fleet_.Put(*entry, now);
     }
-    if (!has_become_cold) {
-      return ItemEffect::kNone;
+    if (has_become_cold) {
+      LogIfCold(*entry, "entry", now);
     }
-    LogIfCold(*entry, "entry", now);
-    return ItemEffect::kChanged;
+    // The others of the domain miss an endpoint that has returned as well.
+    return has_become_cold || has_returned ? ItemEffect::kChanged : ItemEffect::kNone;
   }
   log_.Info("endpoint listed id=" + entry->id.value() + " service=" + entry->service.value() +
             " address=" + ToString(entry->address) + " domain=" + entry->domain.value() +
--- a/tests/router/store_watching_test.cc
+++ b/tests/router/store_watching_test.cc
@@ -137,6 +137,24 @@
   CHECK(deployment.SendRequest(0, {.path = "/pumps/1", .method = "POST"}).status == 200);
 }
 
+TEST_CASE("an endpoint that returns to a restored store stays known to daemons that do not watch") {
+  RouterDeployment deployment{2, 1, 0};
+  deployment.store.SaveCopy();
+  deployment.pumps.push_back(std::make_unique<sycamorestall::fakes::KeyEndpoint>("late", false));
+  deployment.RegisterEndpoint(*deployment.pumps.front());
+  REQUIRE(deployment.WaitUntilServed());
+  std::this_thread::sleep_for(kSettleTime);
+  deployment.WriteConfig(2, "/pumps/");
+  deployment.store.RestoreCopy();
+  std::this_thread::sleep_for(milliseconds{1000});
+  deployment.RegisterEndpoint(*deployment.pumps.front());
+  std::this_thread::sleep_for(milliseconds{3000});
+  for (const std::size_t daemon : {0, 1}) {
+    CAPTURE(daemon);
+    CHECK(deployment.SendRequest(daemon, {.path = "/pumps/1", .method = "POST"}).status == 200);
+  }
+}
+
 TEST_CASE("a domain whose daemons the store turns away learns of changes from other domains") {
   using Change = std::function<void(RouterDeployment&)>;
   struct Row {
