--- a/src/store/update_request_schedule.cc
+++ b/src/store/update_request_schedule.cc
@@ -28,7 +28,7 @@
   if (now < next_request_at_) {
     return std::nullopt;
   }
-  const auto peer = Choose(missing, now);
+  auto peer = Choose(missing, now);
   if (peer) {
     last_asked_ = peer;
     const bool is_missing_some = missing.gap || missing.change;
--- a/tests/fakes/datagram_proxy.cc
+++ b/tests/fakes/datagram_proxy.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-DatagramProxy::DatagramProxy(NetworkAddress target, std::uint32_t seed)
+DatagramProxy::DatagramProxy(const NetworkAddress& target, std::uint32_t seed)
     : target_(asio::ip::make_address(target.host), target.port),
       socket_(context_, udp::endpoint{asio::ip::address_v4::loopback(), 0}),
       address_{"127.0.0.1", socket_.local_endpoint().port()},
--- a/tests/fakes/datagram_proxy.h
+++ b/tests/fakes/datagram_proxy.h
@@ -19,7 +19,7 @@
 class DatagramProxy {
  public:
   // The seed decides which packets are lost.
-  DatagramProxy(NetworkAddress target, std::uint32_t seed);
+  DatagramProxy(const NetworkAddress& target, std::uint32_t seed);
   ~DatagramProxy();
   DatagramProxy(const DatagramProxy&) = delete;
   DatagramProxy& operator=(const DatagramProxy&) = delete;
