--- a/tests/router/late_configuration_test.cc
+++ b/tests/router/late_configuration_test.cc
@@ -82,17 +82,22 @@
     double packet_loss;
     std::size_t rate;
     bool watches_cut;
+    // How many routes each change adds. The differences that daemons send each other are large
+    // then.
+    int new_routes;
   };
   const Row rows[] = {
-      {"lost datagrams", 0.3, 0, false},
-      {"full links and lost datagrams", 0.15, kFullLinkRate, false},
-      {"full links, lost datagrams and cut watches", 0.15, kFullLinkRate, true},
+      {"lost datagrams", 0.3, 0, false, 0},
+      {"full links and lost datagrams", 0.15, kFullLinkRate, false, 0},
+      {"full links, lost datagrams and cut watches", 0.15, kFullLinkRate, true, 0},
+      {"full links, lost datagrams and many new routes", 0.15, kFullLinkRate, false, 120},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
     RouterDeployment deployment{kDaemons, 1, 1, ConnectionKind::kAllProxied};
     int version = 2;
-    deployment.WriteConfig(version, PrefixOf(version), kRoutes);
+    int routes = kRoutes - kChanges * row.new_routes;
+    deployment.WriteConfig(version, PrefixOf(version), routes);
     REQUIRE(deployment.WaitUntilServed());
     const Repeater heartbeats{kHeartbeatInterval,
                               [&] { deployment.RegisterEndpoint(*deployment.pumps[0]); }};
@@ -113,8 +118,9 @@
     for (int change = 0; change < kChanges; ++change) {
       std::this_thread::sleep_for(milliseconds{1000 + random() % 1000});
       ++version;
+      routes += row.new_routes;
       const auto written_at = Clock::now();
-      deployment.WriteConfig(version, PrefixOf(version), kRoutes);
+      deployment.WriteConfig(version, PrefixOf(version), routes);
       late += CountLate(deployment, version, written_at);
     }
     CHECK(late == 0);
--- a/tests/store/operator_watch_test.cc
+++ b/tests/store/operator_watch_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -152,3 +155,121 @@
     CHECK(store.watching_prefix() == row.expected);
   }
 }
+
+namespace {
+
+// A store that changes at random, and what each of the calls to it would bring.
+class ChangingStore {
+ public:
+  explicit ChangingStore(std::uint32_t seed) : random_(seed) {}
+
+  void Change() {
+    const std::vector<std::string> keys{"op/config", "op/evacuate/a", "servers/a", "servers/b"};
+    const std::string& key = keys[random_() % keys.size()];
+    ++revision_.value;
+    if (random_() % 3 == 0 && items_.contains(key)) {
+      items_.erase(key);
+      history_.push_back(Removal(key, revision_));
+    } else {
+      items_[key] = {key, key + std::to_string(revision_.value), revision_};
+      history_.push_back({items_[key], false});
+    }
+  }
+  // The events after a revision of the keys that begin with the prefix.
+  Store::Changes ChangesAfter(Revision after, const std::string& prefix) const {
+    Store::Changes changes{{}, revision_};
+    std::copy_if(history_.begin(), history_.end(), std::back_inserter(changes.events),
+                 [&](const StoreEvent& each) {
+                   return each.item.revision > after && each.item.key.starts_with(prefix);
+                 });
+    return changes;
+  }
+  Store::Contents Contents() const {
+    Store::Contents contents{{}, revision_};
+    for (const auto& [key, item] : items_) {
+      contents.items.push_back(item);
+    }
+    return contents;
+  }
+  std::map<std::string, std::string> Values() const {
+    std::map<std::string, std::string> values;
+    for (const auto& [key, item] : items_) {
+      values[key] = item.value;
+    }
+    return values;
+  }
+  // Whether something happens that happens once in `times` times.
+  bool OnceIn(unsigned times) { return random_() % times == 0; }
+
+ private:
+  std::mt19937 random_;
+  Revision revision_{10};
+  std::map<std::string, StoreItem> items_;
+  std::vector<StoreEvent> history_;
+};
+
+// Keeps the values of the store as a daemon does.
+class MirroringObserver : public RecordingObserver {
+ public:
+  void ApplyChanges(const Store::Changes& changes, const StoreStateOrigin& /*origin*/) override {
+    for (const StoreEvent& each : changes.events) {
+      if (each.removed) {
+        mirror.erase(each.item.key);
+      } else {
+        mirror[each.item.key] = each.item.value;
+      }
+    }
+  }
+
+  std::map<std::string, std::string> mirror;
+};
+
+StoreUpdate MakeUpdate(const Store::Changes& changes, Revision base) {
+  StoreUpdate update{base, changes.revision, 0, false, {}};
+  for (const StoreEvent& each : changes.events) {
+    update.events.push_back(CompressEvent(each, nullptr));
+  }
+  return update;
+}
+
+}  // namespace
+
+TEST_CASE("a standby agrees with the store in whatever order watches, updates and reads come") {
+  constexpr int kSteps = 300;
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    g_now = Instant{} + std::chrono::hours{1};
+    ChangingStore changing{seed};
+    ScriptedStore store;
+    MirroringObserver observer;
+    StoreWatcher watcher{store, observer, [] { return g_now; }, "op/"};
+    OperatorWatch watch{store, watcher, observer, [] { return g_now; }};
+    watcher.Tick(g_now);
+    store.AnswerRead({{}, {10}});
+    watcher.SetWatching(false);
+    for (int step = 0; step < kSteps; ++step) {
+      changing.Change();
+      g_now += milliseconds{200};
+      watch.Tick(true, g_now);
+      if (changing.OnceIn(3) && store.watching_prefix()) {
+        store.AnswerPrefixWatch(changing.ChangesAfter(store.last_prefix_watch_revision(), "op/"));
+      }
+      if (changing.OnceIn(4)) {
+        const Revision known = watcher.revision();
+        watcher.ApplyUpdate(MakeUpdate(changing.ChangesAfter(known, ""), known), g_now);
+      }
+      if (changing.OnceIn(5)) {
+        watcher.Tick(g_now);
+      }
+      if (changing.OnceIn(5) && store.reading()) {
+        store.AnswerRead(changing.Contents());
+      }
+      if (changing.OnceIn(5) && store.watching()) {
+        store.AnswerWatch(changing.ChangesAfter(store.last_watch_revision(), ""));
+      }
+    }
+    const Revision known = watcher.revision();
+    watcher.ApplyUpdate(MakeUpdate(changing.ChangesAfter(known, ""), known), g_now);
+    CHECK(observer.mirror == changing.Values());
+  }
+}
