--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -66,6 +66,11 @@
     double weight = 0;
   };
 
+  // Daemons whose registration has lapsed count as long as they were heard this recently.
+  static constexpr std::chrono::milliseconds kUnregisteredPeerTimeToLive{10000};
+  // A daemon reports the store as unreachable after this time; it then cannot lead.
+  static constexpr std::chrono::milliseconds kStoreUnreachableDelay{600};
+
   class RequestHandler;
   class ReadinessHandler;
   class MetricsHandler;
@@ -113,6 +118,11 @@
   // not heard, the revision of some seconds ago is taken for confirmed.
   std::map<InstanceId, Revision> Followers(Instant now) const;
   void HandleMessage(const DaemonMessage& message);
+  // Handle the parts of a message: what its sender says of itself, what concerns the owners of
+  // keys, and what it reports of endpoints.
+  void HandleGossip(const DaemonMessage& message, Instant now);
+  void HandleKeyMessages(const DaemonMessage& message, Instant now);
+  void HandleEndpointReports(const DaemonMessage& message, Instant now);
   // The strongest daemon that reaches the store and knows more of it than this one, of the own
   // domain if there is one; empty if none is heard.
   std::optional<InstanceId> FindInformedPeer(Instant now) const;
--- a/src/router/routing_daemon_peers.cc
+++ b/src/router/routing_daemon_peers.cc
@@ -5,22 +5,16 @@
 #include <utility>
 
 #include "clock/system_clock.h"
-#include "core/watcher_choice.h"
 #include "router/routing_daemon.h"
 
 namespace sycamorestall {
 
 namespace {
 
-constexpr std::chrono::milliseconds kUnregisteredPeerTimeToLive{10000};
 // How often the known daemons are passed to the limiter of cold endpoints, and for how long one
 // that is not registered counts there after it was heard.
 constexpr std::chrono::milliseconds kColdUpdateInterval{200};
 constexpr std::chrono::milliseconds kColdPeerTimeToLive{5000};
-// A daemon reports the store as unreachable after this time; it then cannot lead.
-constexpr std::chrono::milliseconds kStoreUnreachableDelay{600};
-// A change of the operator's that peers have known for longer is logged.
-constexpr std::chrono::milliseconds kLoggedChangeDelay{700};
 // A hand-over is sent more than once because datagrams get lost.
 constexpr int kHandOverCopies = 2;
 
@@ -251,49 +245,6 @@
                      [](const auto& each) { return each.second->is_leader(); });
 }
 
-StoreWatchRole RoutingDaemon::ChooseWatchRole(Instant now) const {
-  std::vector<StoreWatchCandidate> others;
-  for (const auto& [id, peer] : peer_states_) {
-    const bool eligible = peer.domain == settings_.domain && IsHeard(peer, now) && !peer.stopping &&
-                          !peer.store_unreachable && peer.store_revision.value != 0 &&
-                          peer.store_revision.era >= store_watcher_.revision().era;
-    if (eligible) {
-      others.push_back({id, peer.knows_recent_changes, peer.weight});
-    }
-  }
-  return ChooseStoreWatchRole(
-      {settings_.instance, update_relay_.KnowsRecentChanges(now), settings_.weight}, others);
-}
-
-void RoutingDaemon::SendStoreUpdates(Instant now) {
-  update_relay_.DiscardOld(now);
-  // What is known goes on being sent until the others of the domain have chosen another watcher.
-  const bool sends =
-      watches_for_domain_ && !store_watcher_.IsUnreachableFor(kStoreUnreachableDelay, now);
-  if (sends && update_relay_.IsDue(now)) {
-    update_relay_.Send(Followers(now), now);
-  }
-}
-
-std::map<InstanceId, Revision> RoutingDaemon::Followers(Instant now) const {
-  const Revision recent = update_relay_.AssumedRevision(now);
-  std::map<InstanceId, Revision> followers;
-  for (const auto& [id, daemon] : registry_.daemons()) {
-    if (daemon.domain == settings_.domain) {
-      followers[id] = recent;
-    }
-  }
-  for (const auto& [id, peer] : peer_states_) {
-    const Duration silence = now - peer.heard_at;
-    if (peer.domain == settings_.domain && silence < kUnregisteredPeerTimeToLive) {
-      followers[id] =
-          IsHeard(peer, now) ? peer.store_revision : std::max(peer.store_revision, recent);
-    }
-  }
-  followers.erase(settings_.instance);
-  return followers;
-}
-
 void RoutingDaemon::ReplacePeerLoads(const std::vector<EndpointLoad>& earlier,
                                      const std::vector<EndpointLoad>& latest) {
   for (const EndpointLoad& each : earlier) {
@@ -341,115 +292,38 @@
   return loads;
 }
 
-void RoutingDaemon::HandleStoreUpdate(const StoreUpdate& update, const InstanceId& sender,
-                                      Instant now) {
-  const Revision known = store_watcher_.revision();
-  const UpdateResult result = store_watcher_.ApplyUpdate(update, now);
-  metrics_.IncrementCounter("store_updates_received_total{result=\"" +
-                            std::string{ToString(result)} + "\"}");
-  if (result == UpdateResult::kGap || result == UpdateResult::kUndecodable) {
-    update_requests_.RecordGap(sender);
-    log_.Info("store update not applied reason=" + std::string{ToString(result)} +
-              " sender=" + sender.value() + " known=" + std::to_string(known.value) +
-              " base=" + std::to_string(update.base.value) +
-              " revision=" + std::to_string(update.revision.value));
-  }
-}
-
-std::optional<InstanceId> RoutingDaemon::FindInformedPeer(Instant now) const {
-  std::optional<InstanceId> informed;
-  std::pair<bool, double> best;
-  for (const auto& [id, peer] : peer_states_) {
-    const bool knows_more = IsHeard(peer, now) && !peer.stopping && !peer.store_unreachable &&
-                            peer.store_revision > store_watcher_.revision();
-    const std::pair rank{peer.domain == settings_.domain, peer.weight};
-    if (knows_more && (!informed || rank > best)) {
-      informed = id;
-      best = rank;
-    }
-  }
-  return informed;
+void RoutingDaemon::HandleGossip(const DaemonMessage& message, Instant now) {
+  domains_.RecordDaemonMessage(message.domain, Schedule().gossip_interval, now);
+  const auto known = peer_states_.find(message.sender);
+  const bool has_progressed =
+      known == peer_states_.end() || known->second.store_revision != message.store_revision;
+  if (has_progressed && message.store_revision.value != 0) {
+    store_watcher_.RecordPeerProgress(now);
+  }
+  const bool was_counted = known != peer_states_.end() && IsHeard(known->second, now);
+  std::vector<EndpointLoad> loads = message.loads;
+  std::vector<HashedLoad> unknown_loads = ResolveLoads(message.hashed_loads, loads);
+  ReplacePeerLoads(was_counted ? known->second.loads : std::vector<EndpointLoad>{}, loads);
+  peer_states_[message.sender] = {now,
+                                  message.domain,
+                                  message.stopping,
+                                  message.store_unreachable,
+                                  std::move(loads),
+                                  std::move(unknown_loads),
+                                  message.store_revision,
+                                  message.knows_recent_changes,
+                                  message.weight};
+  store_watcher_.ObserveEra(message.store_revision.era);
+  store_watcher_.RecordPeerChange(message.sender, message.operator_revision, now);
 }
 
-void RoutingDaemon::RequestMissingUpdates(Instant now) {
-  if (!store_watcher_.loaded()) {
-    return;
-  }
-  MissingUpdates missing;
-  missing.gap = !watches_for_domain_ && store_watcher_.update_state(now).gap;
-  missing.change = store_watcher_.operator_revisions().OldestMissing();
-  if (!store_watcher_.reachable()) {
-    missing.informed_peer = FindInformedPeer(now);
-  }
-  const auto peer = update_requests_.Next(missing, now);
-  if (!peer) {
-    return;
-  }
-  metrics_.IncrementCounter("store_updates_requested_total");
-  DaemonMessage message;
-  message.sender = settings_.instance;
-  message.update_requests.push_back({store_watcher_.revision()});
-  transport_.SendTo(*peer, message);
-}
-
-void RoutingDaemon::LogMissingChange(Instant now) {
-  const auto missing = store_watcher_.operator_revisions().OldestMissing();
-  const bool is_due = missing && missing->revision > logged_missing_change_ &&
-                      now - missing->heard_at > kLoggedChangeDelay;
-  if (!is_due) {
-    return;
-  }
-  logged_missing_change_ = missing->revision;
-  log_.Warning("operator's change missing revision=" + std::to_string(missing->revision.value) +
-               " known=" + std::to_string(store_watcher_.revision().value) +
-               " peer=" + missing->peer.value() + " " + ToString(store_watcher_.update_state(now)));
-}
-
-void RoutingDaemon::HandleMessage(const DaemonMessage& message) {
-  const Instant now = BootNow();
-  // Only gossip names the sender's domain.
-  if (!message.domain.empty()) {
-    domains_.RecordDaemonMessage(message.domain, Schedule().gossip_interval, now);
-    const auto known = peer_states_.find(message.sender);
-    const bool has_progressed =
-        known == peer_states_.end() || known->second.store_revision != message.store_revision;
-    if (has_progressed && message.store_revision.value != 0) {
-      store_watcher_.RecordPeerProgress(now);
-    }
-    const bool was_counted = known != peer_states_.end() && IsHeard(known->second, now);
-    std::vector<EndpointLoad> loads = message.loads;
-    std::vector<HashedLoad> unknown_loads = ResolveLoads(message.hashed_loads, loads);
-    ReplacePeerLoads(was_counted ? known->second.loads : std::vector<EndpointLoad>{}, loads);
-    peer_states_[message.sender] = {now,
-                                    message.domain,
-                                    message.stopping,
-                                    message.store_unreachable,
-                                    std::move(loads),
-                                    std::move(unknown_loads),
-                                    message.store_revision,
-                                    message.knows_recent_changes,
-                                    message.weight};
-    store_watcher_.ObserveEra(message.store_revision.era);
-    store_watcher_.RecordPeerChange(message.sender, message.operator_revision, now);
-  }
-  for (const StoreUpdate& update : message.store_updates) {
-    HandleStoreUpdate(update, message.sender, now);
-  }
-  for (const UpdateRequest& request : message.update_requests) {
-    update_relay_.Answer(message.sender, request.known, now);
-  }
+void RoutingDaemon::HandleKeyMessages(const DaemonMessage& message, Instant now) {
   for (const ServiceDemand& demand : message.demands) {
     const auto service = key_services_.find(demand.service);
     if (service != key_services_.end()) {
       service->second->AddDemand(demand.counts);
     }
   }
-  for (const EndpointTimes& times : message.service_times) {
-    fleet_.AddServiceTimes(
-        times.endpoint,
-        {times.count,
-         std::chrono::duration<double>(std::chrono::microseconds{times.mean_us}).count()});
-  }
   for (const AnnouncementPart& part : message.announcements) {
     const auto service = key_services_.find(part.service);
     if (service != key_services_.end()) {
@@ -462,6 +336,19 @@
       service->second->HandleHandOver(hand_over, last_tick_at_, now);
     }
   }
+  for (const NotOwnerReport& report : message.not_owner_reports) {
+    const auto service = key_services_.find(report.service);
+    if (service != key_services_.end()) {
+      service->second->HandleNotOwnerReport(report.key, report.endpoint, now);
+    }
+  }
+}
+
+void RoutingDaemon::HandleEndpointReports(const DaemonMessage& message, Instant now) {
+  for (const EndpointTimes& times : message.service_times) {
+    const std::chrono::duration<double> mean = std::chrono::microseconds{times.mean_us};
+    fleet_.AddServiceTimes(times.endpoint, {times.count, mean.count()});
+  }
   for (const DrainReport& report : message.drain_reports) {
     if (fleet_.HandleDrainReport(report.endpoint, report.incarnation, now)) {
       log_.Info("endpoint drains id=" + report.endpoint.value() +
@@ -471,12 +358,22 @@
   for (const CrashReport& report : message.crash_reports) {
     crashing_requests_.ApplyReport(report, now);
   }
-  for (const NotOwnerReport& report : message.not_owner_reports) {
-    const auto service = key_services_.find(report.service);
-    if (service != key_services_.end()) {
-      service->second->HandleNotOwnerReport(report.key, report.endpoint, now);
-    }
+}
+
+void RoutingDaemon::HandleMessage(const DaemonMessage& message) {
+  const Instant now = BootNow();
+  // Only gossip names the sender's domain.
+  if (!message.domain.empty()) {
+    HandleGossip(message, now);
+  }
+  for (const StoreUpdate& update : message.store_updates) {
+    HandleStoreUpdate(update, message.sender, now);
+  }
+  for (const UpdateRequest& request : message.update_requests) {
+    update_relay_.Answer(message.sender, request.known, now);
   }
+  HandleKeyMessages(message, now);
+  HandleEndpointReports(message, now);
 }
 
 }  // namespace sycamorestall
--- a/src/store/operator_watch.h
+++ b/src/store/operator_watch.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "store/store.h"
 #include "store/store_watcher.h"
 
 namespace sycamorestall {
