Review: keys stay without an owner after a spoiled handover

Cause: the bytes of a target's X-Handover go unchecked into a JSON body; json::dump() throws for what is not UTF-8, and the actions of the leader that were taken together are dropped for good.

--- a/review/mock_platform.hpp
+++ b/review/mock_platform.hpp
@@ -327,11 +327,13 @@
   // Writes an item, as the operator or a target does.
   void Put(const std::string& key, const std::string& value) {
     const std::lock_guard lock{mutex_};
+    ++revision_;
     Write(key, EncodeBase64(value), 0);
     changed_.notify_all();
   }
   void Remove(const std::string& key) {
     const std::lock_guard lock{mutex_};
+    ++revision_;
     Erase(key);
     changed_.notify_all();
   }
@@ -362,8 +364,8 @@
     Item item;
   };
 
+  // Writes an item with the present revision: all entries of a transaction have the same.
   void Write(const std::string& key, const std::string& value, std::uint64_t lease) {
-    ++revision_;
     Item& item = items_[key];
     item.created = item.created == 0 ? revision_ : item.created;
     item.value = value;
@@ -373,7 +375,6 @@
   }
   void Erase(const std::string& key) {
     if (items_.erase(key) > 0) {
-      ++revision_;
       events_.push_back({key, revision_, true, {}});
     }
   }
@@ -401,6 +402,7 @@
     for (const auto& [key, item] : items_) {
       if (item.lease == id) keys.push_back(key);
     }
+    revision_ += keys.empty() ? 0 : 1;
     for (const std::string& key : keys) Erase(key);
     changed_.notify_all();
   }
@@ -486,6 +488,7 @@
           return json::object();
         }
       }
+      ++revision_;
       for (const json& row : body.value("puts", json::array())) {
         Write(row.at("key"), row.at("value"), row.value("lease", std::uint64_t{0}));
       }
@@ -542,13 +545,13 @@
 
   const std::string& id() const { return id_; }
   int port() const { return server_.port(); }
-  std::string Entry(const std::string& state = "ready") {
+  std::string Entry() {
     return json{{"service", service_},
                 {"address", "127.0.0.1:" + std::to_string(port())},
                 {"zone", zone_},
                 {"version", "v1"},
                 {"max_concurrency", slots},
-                {"state", state},
+                {"state", draining ? "draining" : "ready"},
                 {"warmup_left_s", 0.0},
                 {"seq", ++sequence_},
                 {"born", 1700000000000}}
@@ -572,6 +575,9 @@
   int work_ms = 20;
   std::size_t answer_bytes = 400;
   std::atomic<bool> registered{true};
+  std::atomic<bool> draining{false};
+  // Whether its next answer to a release has other bytes where the handover belongs.
+  std::atomic<bool> spoil_next_handover{false};
   Override before_run;
 
  private:
@@ -609,7 +615,13 @@
     if (request.Path() == "/v1/release") {
       for (int key = from; key <= to; ++key) until_[key] = {};
       lock.unlock();
-      Answer(connection, 200, "X-Handover: 5c0e7a21d94b36f8\r\n", "");
+      const bool spoiled = spoil_next_handover.exchange(false);
+      record_.Line("target " + id_ + " releases " + std::to_string(from) + "-" +
+                   std::to_string(to) + (spoiled ? " spoiled" : ""));
+      Answer(connection, 200,
+             std::string{"X-Handover: "} + (spoiled ? "5c0e7a21\xd9\x4b\x36\xf8" : "5c0e7a21d94b36f8") +
+                 "\r\n",
+             "");
       return;
     }
     for (int key = from; key <= to; ++key) {
@@ -626,6 +638,8 @@
       until_[key] = until;
     }
     lock.unlock();
+    record_.Line("target " + id_ + " granted " + std::to_string(from) + "-" + std::to_string(to) +
+                 " fence=" + std::to_string(fence));
     Answer(connection, 200, "", "");
   }
   bool HandleRequest(Connection& connection, const Message& request) {
