Review: a late entry of an earlier life ends the draining of a target

Cause: an entry with an earlier start than the known one is taken for a new start, unless the store was restored.

--- a/review/mock_platform.hpp
+++ b/review/mock_platform.hpp
@@ -248,31 +248,54 @@
  public:
   using Handler = std::function<void(std::shared_ptr<Connection>)>;
 
-  explicit Server(Handler handler, int port = 0) : handler_(std::move(handler)), port_(port) {
-    descriptor_ = Listen(port_);
-    if (descriptor_ < 0) throw std::runtime_error("cannot listen");
-    std::thread([this] { Accept(); }).detach();
-  }
+  explicit Server(Handler handler) : handler_(std::move(handler)) { Start(); }
   int port() const { return port_; }
+  // Listens, at the earlier port if there was one.
+  void Start() {
+    const int descriptor = Listen(port_);
+    if (descriptor < 0) throw std::runtime_error("cannot listen");
+    const std::lock_guard lock{mutex_};
+    descriptor_ = descriptor;
+    std::thread([this, descriptor] { Accept(descriptor); }).detach();
+  }
+  // Refuses connections from now on and resets those that are open, as when the process ends.
+  void Stop() {
+    const std::lock_guard lock{mutex_};
+    ::shutdown(descriptor_, SHUT_RDWR);
+    ::close(descriptor_);
+    descriptor_ = -1;
+    for (const auto& each : connections_) {
+      if (const auto connection = each.lock()) {
+        const linger option{1, 0};
+        setsockopt(connection->descriptor(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+        ::shutdown(connection->descriptor(), SHUT_RDWR);
+      }
+    }
+    connections_.clear();
+  }
 
  private:
-  void Accept() {
+  void Accept(int descriptor) {
     for (;;) {
-      const int accepted = ::accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC);
-      if (accepted < 0) {
-        SleepMs(5);
-        continue;
+      const int accepted = ::accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+      const std::lock_guard lock{mutex_};
+      if (descriptor_ != descriptor) {
+        if (accepted >= 0) ::close(accepted);
+        return;
       }
+      if (accepted < 0) continue;
       const int on = 1;
       setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      std::thread([this, connection = std::make_shared<Connection>(accepted)] {
-        handler_(connection);
-      }).detach();
+      const auto connection = std::make_shared<Connection>(accepted);
+      connections_.push_back(connection);
+      std::thread([this, connection] { handler_(connection); }).detach();
     }
   }
 
   Handler handler_;
-  int port_;
+  std::mutex mutex_;
+  std::vector<std::weak_ptr<Connection>> connections_;
+  int port_ = 0;
   int descriptor_ = -1;
 };
 
@@ -554,7 +577,7 @@
                 {"state", draining ? "draining" : "ready"},
                 {"warmup_left_s", 0.0},
                 {"seq", ++sequence_},
-                {"born", 1700000000000}}
+                {"born", born.load()}}
         .dump();
   }
   // Writes its entry at every heartbeat from now on.
@@ -566,11 +589,34 @@
       }
     }).detach();
   }
+  // Ends the process, as a crash does: it holds and knows nothing any more.
+  void Crash() {
+    registered = false;
+    server_.Stop();
+    const std::lock_guard lock{mutex_};
+    std::fill(until_.begin(), until_.end(), Clock::time_point{});
+    std::fill(fences_.begin(), fences_.end(), 0);
+  }
+  // Starts again under the same id.
+  void Restart(std::int64_t born_ms) {
+    born = born_ms;
+    sequence_ = 0;
+    server_.Start();
+    registered = true;
+  }
   std::map<std::string, int> Runs() {
     const std::lock_guard lock{mutex_};
     return runs_;
   }
 
+  // When it began to run each request.
+  std::map<std::string, Clock::time_point> RunTimes() {
+    const std::lock_guard lock{mutex_};
+    return run_times_;
+  }
+
+  // The Unix millisecond of its start.
+  std::atomic<std::int64_t> born{1700000000000};
   int slots = 6;
   int work_ms = 20;
   std::size_t answer_bytes = 400;
@@ -650,13 +696,14 @@
     {
       const std::lock_guard lock{mutex_};
       const std::string key = request.Header("x-shard-key");
-      const bool holds = !sharded_ || (!key.empty() && until_[std::stoi(key)] > Clock::now());
+      const bool holds = !sharded_ || (!key.empty() && until_[std::strtoul(key.c_str(), nullptr, 10) & 65535] > Clock::now());
       if (!mine || !holds) {
         record_.Line("target " + id_ + " 421 id=" + request_id);
         Answer(connection, 421, echo + "X-Not-Executed: 1\r\n", "");
         return true;
       }
       ++runs_[request_id];
+      run_times_.emplace(request_id, Clock::now());
     }
     record_.Line("target " + id_ + " runs " + request.start_line + " id=" + request_id +
                  " body=" + std::to_string(request.body.size()));
@@ -674,6 +721,7 @@
   Record& record_;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
+  std::map<std::string, Clock::time_point> run_times_;
   std::vector<std::int64_t> fences_ = std::vector<std::int64_t>(65536);
   std::vector<Clock::time_point> until_ = std::vector<Clock::time_point>(65536);
   std::atomic<int> sequence_{0};
