Review: two targets hold the same keys after a late entry of an earlier life

Cause: an entry with an earlier start is taken for a restart; the target that now has the earlier address answers 421, which is taken for a proof that the owner has ended.

--- a/review/mock_platform.hpp
+++ b/review/mock_platform.hpp
@@ -248,10 +248,13 @@
  public:
   using Handler = std::function<void(std::shared_ptr<Connection>)>;
 
-  explicit Server(Handler handler) : handler_(std::move(handler)) { Start(); }
+  explicit Server(Handler handler, int port = 0) : handler_(std::move(handler)), port_(port) {
+    Start();
+  }
   int port() const { return port_; }
-  // Listens, at the earlier port if there was one.
-  void Start() {
+  // Listens, at the earlier port if there was one and it is not to be another.
+  void Start(bool other_port = false) {
+    if (other_port) port_ = 0;
     const int descriptor = Listen(port_);
     if (descriptor < 0) throw std::runtime_error("cannot listen");
     const std::lock_guard lock{mutex_};
@@ -558,13 +561,15 @@
   // What a test may do in place of the usual answer; returns true if it has handled the request.
   using Override = std::function<bool(Connection&, const Message&)>;
 
-  Target(std::string id, std::string service, std::string zone, bool sharded, Record& record)
+  // A port of 0 is a free one.
+  Target(std::string id, std::string service, std::string zone, bool sharded, Record& record,
+         int port = 0)
       : id_(std::move(id)),
         service_(std::move(service)),
         zone_(std::move(zone)),
         sharded_(sharded),
         record_(record),
-        server_([this](std::shared_ptr<Connection> connection) { Serve(connection); }) {}
+        server_([this](std::shared_ptr<Connection> connection) { Serve(connection); }, port) {}
 
   const std::string& id() const { return id_; }
   int port() const { return server_.port(); }
@@ -598,10 +603,10 @@
     std::fill(fences_.begin(), fences_.end(), 0);
   }
   // Starts again under the same id.
-  void Restart(std::int64_t born_ms) {
+  void Restart(std::int64_t born_ms, bool other_port = false) {
     born = born_ms;
     sequence_ = 0;
-    server_.Start();
+    server_.Start(other_port);
     registered = true;
   }
   std::map<std::string, int> Runs() {
@@ -609,6 +614,11 @@
     return runs_;
   }
 
+  // Whether it holds a grant of the key that has not run out.
+  bool Holds(int key) {
+    const std::lock_guard lock{mutex_};
+    return until_[key] > Clock::now();
+  }
   // When it began to run each request.
   std::map<std::string, Clock::time_point> RunTimes() {
     const std::lock_guard lock{mutex_};
