--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # See claim.txt.
-exec "$(dirname "$0")/../run_case_3.sh" 12 spoiled_handover
+exec "$(dirname "$0")/../run_case_3.sh" 12 late_entry
--- a/review/15/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/usr/bin/env bash
-# See claim.txt.
-exec "$(dirname "$0")/../run_case_3.sh" 15 two_owners
