--- a/review/12/late_entry.cpp
+++ b/review/12/late_entry.cpp
@@ -60,6 +60,8 @@
   std::vector<std::thread> consumers;
   for (int i = 0; i < kConsumers; ++i) {
     consumers.emplace_back([&, i] {
+      // Not all in step, so that some request runs at any moment.
+      SleepMs(i * kWorkMs / kConsumers);
       while (!ends) {
         const std::string id = "r-" + std::to_string(++next_id);
         const auto sent_at = Clock::now();
@@ -128,10 +130,10 @@
   }
   if (served < 100) Finish(2, "too few requests were served");
   const bool broken = late > 0;
-  const std::string verdict = "served=" + std::to_string(served) +
-                              ", reached the target later than drain_s after the ack=" +
-                              std::to_string(late) + ", of these lost=" + std::to_string(cut) +
-                              (broken ? ": DRAIN broken" : ": DRAIN held");
+  const std::string verdict =
+      "served=" + std::to_string(served) +
+      ", reached the target later than drain_s after the ack=" + std::to_string(late) +
+      ", of these lost=" + std::to_string(cut) + (broken ? ": DRAIN broken" : ": DRAIN held");
   record.Line(verdict);
   Finish(broken ? 1 : 0, verdict);
 }
--- a/review/mock_platform.hpp
+++ b/review/mock_platform.hpp
@@ -30,6 +30,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -44,9 +45,7 @@
 
 inline const Clock::time_point kStart = Clock::now();
 
-inline double Seconds() {
-  return std::chrono::duration<double>(Clock::now() - kStart).count();
-}
+inline double Seconds() { return std::chrono::duration<double>(Clock::now() - kStart).count(); }
 
 inline void SleepMs(int ms) { std::this_thread::sleep_for(milliseconds{ms}); }
 
@@ -75,7 +74,7 @@
 // An HTTP message: a request or an answer.
 struct Message {
   std::string start_line;
-  std::string head;  // With the start line and the empty line.
+  std::string head;                            // With the start line and the empty line.
   std::map<std::string, std::string> headers;  // Names in lower case.
   std::string body;
 
@@ -120,8 +119,7 @@
   bool Send(const std::string& bytes) {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
-      const auto size =
-          ::send(descriptor_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+      const auto size = ::send(descriptor_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
       if (size <= 0) return false;
       sent += static_cast<std::size_t>(size);
     }
@@ -160,7 +158,8 @@
       ParseHead(message);
       buffer_.erase(0, head_end + 4);
       if (is_answer && message.Status() < 200) continue;
-      const std::size_t length = std::strtoul(message.Header("content-length").c_str(), nullptr, 10);
+      const std::size_t length =
+          std::strtoul(message.Header("content-length").c_str(), nullptr, 10);
       while (buffer_.size() < length) {
         if (!Receive(left())) return std::nullopt;
       }
@@ -232,9 +231,10 @@
 
 // A port below the range of outgoing connections that nobody uses now.
 inline int FreePort() {
-  static int next = 10000 + static_cast<int>(getpid() % 15000);
+  static std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<int> pick{10'240, 32'000};
   for (;;) {
-    int port = ++next;
+    int port = pick(random);
     const int descriptor = Listen(port);
     if (descriptor >= 0) {
       ::close(descriptor);
@@ -482,10 +482,10 @@
         json rows = json::array();
         for (const Event& event : events_) {
           if (event.revision <= after || !event.key.starts_with(prefix)) continue;
-          rows.push_back(event.removed ? json{{"key", event.key},
-                                              {"revision", event.revision},
-                                              {"removed", true}}
-                                       : ItemRow(event.key, event.item));
+          rows.push_back(
+              event.removed
+                  ? json{{"key", event.key}, {"revision", event.revision}, {"removed", true}}
+                  : ItemRow(event.key, event.item));
         }
         if (!rows.empty() || Clock::now() >= until) {
           return {{"events", rows}, {"store_revision", revision_}};
@@ -528,8 +528,7 @@
       leases_[id] = {ttl_s, Clock::now() + milliseconds{static_cast<int>(ttl_s * 1000)}};
       return {{"lease", id}, {"ttl_s_time", ttl_s}};
     }
-    const std::uint64_t id =
-        std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
+    const std::uint64_t id = std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
     if (!leases_.contains(id)) {
       status = 404;
       return json::object();
@@ -675,8 +674,8 @@
       record_.Line("target " + id_ + " releases " + std::to_string(from) + "-" +
                    std::to_string(to) + (spoiled ? " spoiled" : ""));
       Answer(connection, 200,
-             std::string{"X-Handover: "} + (spoiled ? "5c0e7a21\xd9\x4b\x36\xf8" : "5c0e7a21d94b36f8") +
-                 "\r\n",
+             std::string{"X-Handover: "} +
+                 (spoiled ? "5c0e7a21\xd9\x4b\x36\xf8" : "5c0e7a21d94b36f8") + "\r\n",
              "");
       return;
     }
@@ -687,8 +686,8 @@
         return;
       }
     }
-    const auto until = Clock::now() + milliseconds{static_cast<int>(
-                                          body.at("hold_s").get<double>() * 1000)};
+    const auto until =
+        Clock::now() + milliseconds{static_cast<int>(body.at("hold_s").get<double>() * 1000)};
     for (int key = from; key <= to; ++key) {
       fences_[key] = fence;
       until_[key] = until;
@@ -706,7 +705,9 @@
     {
       const std::lock_guard lock{mutex_};
       const std::string key = request.Header("x-shard-key");
-      const bool holds = !sharded_ || (!key.empty() && until_[std::strtoul(key.c_str(), nullptr, 10) & 65535] > Clock::now());
+      const bool holds =
+          !sharded_ ||
+          (!key.empty() && until_[std::strtoul(key.c_str(), nullptr, 10) & 65535] > Clock::now());
       if (!mine || !holds) {
         record_.Line("target " + id_ + " 421 id=" + request_id);
         Answer(connection, 421, echo + "X-Not-Executed: 1\r\n", "");
@@ -876,16 +877,17 @@
 inline std::string RequestBytes(const std::string& method, const std::string& path,
                                 const std::string& id, int deadline_ms,
                                 const std::string& body = "", const std::string& headers = "") {
-  std::string bytes = method + " " + path + " HTTP/1.1\r\nHost: hulo84.example\r\nX-Request-Id: " +
-                      id + "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + headers;
+  std::string bytes = method + " " + path +
+                      " HTTP/1.1\r\nHost: hulo84.example\r\nX-Request-Id: " + id +
+                      "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + headers;
   if (method != "GET") bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return bytes + "\r\n" + body;
 }
 
 inline json Route(const std::string& name, const std::string& prefix, const std::string& kind,
                   const std::string& service, double timeout_s, double aim_s) {
-  return {{"name", name},   {"prefix", prefix},         {"kind", kind},     {"service", service},
-          {"priority", 1},  {"timeout_s", timeout_s},   {"aim_s", aim_s},   {"max_attempts", 3}};
+  return {{"name", name},  {"prefix", prefix},       {"kind", kind},   {"service", service},
+          {"priority", 1}, {"timeout_s", timeout_s}, {"aim_s", aim_s}, {"max_attempts", 3}};
 }
 
 inline std::string Config(int version, const json& routes, const json& services) {
