--- a/review/12/late_entry.cpp
+++ b/review/12/late_entry.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kDaemons = 2;
-constexpr int kTargets = 4;
+constexpr int kTargets = 8;
 constexpr int kConsumers = 12;
 constexpr int kTimeBudgetMs = 2500;
 constexpr int kWorkMs = 120;
