--- a/review/mock_platform.hpp
+++ b/review/mock_platform.hpp
@@ -236,10 +236,14 @@
   for (;;) {
     int port = pick(random);
     const int descriptor = Listen(port);
-    if (descriptor >= 0) {
-      ::close(descriptor);
-      return port;
-    }
+    const int datagrams = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool free =
+        descriptor >= 0 &&
+        ::bind(datagrams, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(datagrams);
+    if (descriptor >= 0) ::close(descriptor);
+    if (free) return port;
   }
 }
 
@@ -350,6 +354,26 @@
     std::thread([this] { ExpireLeases(); }).detach();
   }
   int port() const { return server_.port(); }
+  // Opens a port for one caller alone, so that its calls can be told from those of others.
+  int PortFor(const std::string& caller) {
+    const std::lock_guard lock{mutex_};
+    auto& server = callers_[caller];
+    if (!server) {
+      server = std::make_unique<Server>(
+          [this, caller](std::shared_ptr<Connection> connection) { Serve(*connection, caller); });
+    }
+    return server->port();
+  }
+  // The caller that last wrote under a condition.
+  std::string LastConditionalWriter() {
+    const std::lock_guard lock{mutex_};
+    return last_conditional_writer_;
+  }
+  // How many watches of the caller were answered with events.
+  int AnsweredWatches(const std::string& caller) {
+    const std::lock_guard lock{mutex_};
+    return answered_watches_[caller];
+  }
   // Writes an item, as the operator or a target does.
   void Put(const std::string& key, const std::string& value) {
     const std::lock_guard lock{mutex_};
@@ -432,11 +456,11 @@
     for (const std::string& key : keys) Erase(key);
     changed_.notify_all();
   }
-  void Serve(Connection& connection) {
+  void Serve(Connection& connection, const std::string& caller = "") {
     while (auto request = connection.ReceiveMessage(600000, false)) {
       while (silent_) SleepMs(10);
       int status = 200;
-      const json body = busy_ ? (status = 503, json::object()) : Execute(*request, status);
+      const json body = busy_ ? (status = 503, json::object()) : Execute(*request, caller, status);
       const std::string text = body.dump();
       if (!connection.Send("HTTP/1.1 " + std::to_string(status) +
                            " S\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -445,7 +469,7 @@
       }
     }
   }
-  json Execute(const Message& request, int& status) {
+  json Execute(const Message& request, const std::string& caller, int& status) {
     const std::string path = request.Path();
     const std::string target = request.Target();
     std::unique_lock lock{mutex_};
@@ -488,6 +512,7 @@
                   : ItemRow(event.key, event.item));
         }
         if (!rows.empty() || Clock::now() >= until) {
+          answered_watches_[caller] += rows.empty() ? 0 : 1;
           return {{"events", rows}, {"store_revision", revision_}};
         }
         changed_.wait_until(lock, until);
@@ -514,6 +539,7 @@
           return json::object();
         }
       }
+      if (!body.value("expect", json::array()).empty()) last_conditional_writer_ = caller;
       ++revision_;
       for (const json& row : body.value("puts", json::array())) {
         Write(row.at("key"), row.at("value"), row.value("lease", std::uint64_t{0}));
@@ -549,6 +575,9 @@
   std::map<std::uint64_t, Lease> leases_;
   std::uint64_t revision_ = 100;
   std::uint64_t next_lease_ = 0;
+  std::map<std::string, std::unique_ptr<Server>> callers_;
+  std::string last_conditional_writer_;
+  std::map<std::string, int> answered_watches_;
   std::atomic<bool> silent_{false};
   std::atomic<bool> busy_{false};
   Server server_;
@@ -631,6 +660,8 @@
   std::size_t answer_bytes = 400;
   std::atomic<bool> registered{true};
   std::atomic<bool> draining{false};
+  // Whether it leaves without reporting that.
+  std::atomic<bool> leaving{false};
   // Whether its next answer to a release has other bytes where the handover belongs.
   std::atomic<bool> spoil_next_handover{false};
   Override before_run;
@@ -720,9 +751,12 @@
                  " body=" + std::to_string(request.body.size()));
     if (before_run && before_run(connection, request)) return false;
     SleepMs(work_ms);
-    Answer(connection, 200, echo + "X-Server-Stamp: 3e1b.07.5a2.600.0." + id_ + "\r\n",
+    const bool closes = leaving || draining;
+    Answer(connection, 200,
+           echo + "X-Server-Stamp: 3e1b.07.5a2.600.0." + id_ + "\r\n" +
+               (closes ? "Connection: close\r\n" : ""),
            std::string(answer_bytes, 'a'));
-    return true;
+    return !closes;
   }
 
   const std::string id_;
@@ -777,7 +811,7 @@
 class Daemon {
  public:
   Daemon(const std::string& name, const std::string& zone, int store_port,
-         const std::string& folder)
+         const std::string& folder, const std::string& cpu_share = "0.2")
       : name_(name), settings_(folder + "/" + name + ".toml"), log_(folder + "/" + name + ".log") {
     callers_ = FreePort();
     ready_ = FreePort();
@@ -793,7 +827,7 @@
         {"listen.ready", address(ready_)},
         {"listen.control", address(FreePort())},
         {"internal_ports.0", std::to_string(FreePort())},
-        {"limits.cpu_share", "0.2"},
+        {"limits.cpu_share", cpu_share},
         {"limits.memory_mb", "260"},
         {"limits.max_fds", "4100"},
         {"bounds.grace_s", "6"},
