Review: case 12 with as many callers as the site's rate asks for

Cause: with 12 callers some runs had no request at the target when it exited, so that none was cut off.

--- a/review/12/late_entry.cpp
+++ b/review/12/late_entry.cpp
@@ -8,7 +8,8 @@
 
 constexpr int kDaemons = 2;
 constexpr int kTargets = 8;
-constexpr int kConsumers = 12;
+// As many requests at a time as the 189 a second of the sheet, 120 ms each.
+constexpr int kConsumers = 24;
 constexpr int kTimeBudgetMs = 2500;
 constexpr int kWorkMs = 120;
 // Bounds of the site.
