--- a/review/run_case_3.sh
+++ b/review/run_case_3.sh
@@ -13,6 +13,10 @@
 temporary=$(mktemp -d) || exit 2
 timeout -k 2 115 "$program" "$folder" "$temporary"
 status=$?
+if [ "$status" -ne 0 ] && [ "$status" -ne 1 ]; then
+  # Why it could not run.
+  tail -n 5 "$temporary"/*.log
+fi
 rm -rf "$temporary"
 case $status in
   0 | 1) exit "$status" ;;
