--- a/src/core/endpoint_entry.h
+++ b/src/core/endpoint_entry.h
@@ -20,14 +20,17 @@
   bool draining = false;
   // Remaining time during which it is still slow after its start.
   Duration warm_up_left{};
-  // Distinguishes restarts under the same id.
+  // Distinguishes restarts under the same id; 0 if the endpoint does not tell.
   Incarnation incarnation;
+  // Counts the heartbeats of an incarnation.
+  std::uint64_t heartbeat = 0;
 
-  // Compares everything except warm_up_left, which decreases without a change
-  // of the endpoint.
-  bool EqualsIgnoringWarmUp(const EndpointEntry& other) const {
+  // Compares everything except warm_up_left and heartbeat, which change without a change of the
+  // endpoint.
+  bool EqualsIgnoringProgress(const EndpointEntry& other) const {
     EndpointEntry same = other;
     same.warm_up_left = warm_up_left;
+    same.heartbeat = heartbeat;
     return same == *this;
   }
 
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -145,7 +145,7 @@
   endpoint_history_.RecordEntry(*entry);
   const EndpointState* known = fleet_.Find(entry->id);
   // Endpoints rewrite their entries periodically without changes.
-  if (known != nullptr && known->entry.EqualsIgnoringWarmUp(*entry)) {
+  if (known != nullptr && known->entry.EqualsIgnoringProgress(*entry)) {
     const bool has_become_cold = fleet_.HasBecomeCold(*entry, now);
     if (entry->warm_up_left > Duration{}) {
       fleet_.Put(*entry, now);
@@ -160,6 +160,7 @@
             " address=" + ToString(entry->address) + " domain=" + entry->domain.value() +
             (entry->draining ? " draining" : " ready") +
             " start=" + std::to_string(entry->incarnation.value) +
+            " heartbeat=" + std::to_string(entry->heartbeat) +
             " revision=" + std::to_string(item.revision.value));
   if (known != nullptr && known->entry.incarnation != entry->incarnation) {
     RecordEndpointEnd(entry->id, now);
