Tell an entry of an earlier incarnation from a new start

Cause: the store carries a write out seconds after it got no answer. Its entry has the start time of the incarnation before the crash, and EndpointHistory took any other start time for a new start, unless the store was restored: the fleet then forgot that the endpoint drains. Change: EndpointHistory judges entries. A heartbeat of an earlier incarnation that is not above the last one heard of is outdated. An earlier start time by itself proves nothing, as clocks differ: UnconfirmedEntries holds such an entry back until a further heartbeat follows, or nothing has overwritten it for 1.2 s. A daemon that holds an entry back watches the store without the usual delay, and passes entries on that the others of its domain need to decide. New metric endpoint_entries_judged_total. Applying entries has a source file of its own. The test deployment counts heartbeats, as endpoints do.

--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -277,6 +277,7 @@
   store_watcher_.Tick(now);
   operator_watch_.Tick(role == StoreWatchRole::kStandby, now);
   RemoveMissingEndpoints(now);
+  ConfirmEndpoints(now);
   SendStoreUpdates(now);
   registry_.Tick(now);
   crash_registry_.Tick(now);
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -12,6 +12,7 @@
 #include "config/router_settings.h"
 #include "core/endpoint_history.h"
 #include "core/peer_schedule.h"
+#include "core/unconfirmed_entries.h"
 #include "core/watcher_choice.h"
 #include "net/caller_listener.h"
 #include "router/crash_registry.h"
@@ -95,6 +96,14 @@
   enum class ItemEffect { kNone, kChanged, kRemoved };
   ItemEffect ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   ItemEffect ApplyEndpoint(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
+  // Counts and logs an entry that was not simply applied.
+  void LogEndpointEntry(const std::string& what, const EndpointEntry& entry, Revision revision,
+                        EntryAge age);
+  // Adds an endpoint to the fleet or replaces its entry. Returns whether that changed anything but
+  // the progress of its warm-up.
+  bool ListEndpoint(const EndpointEntry& entry, Revision revision, Instant now);
+  // Lists the endpoints whose entries were held back and are confirmed now.
+  void ConfirmEndpoints(Instant now);
   // Handles an entry that names no endpoint to use: it counts as removed.
   ItemEffect RejectEndpoint(const StoreItem& item, const std::string& reason,
                             const StoreStateOrigin& origin, Instant now);
@@ -220,6 +229,7 @@
   EndpointFleet fleet_;
   EndpointHashes endpoint_hashes_;
   EndpointHistory endpoint_history_;
+  UnconfirmedEntries unconfirmed_entries_;
   // Endpoints whose entries the store lost, and when they count as gone.
   std::map<InstanceId, Instant> missing_endpoints_;
   // The keys of entries that name no endpoint to use.
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -1,4 +1,4 @@
-// Applies store items: configuration, endpoints, daemons and ownership records.
+// Applies store items: configuration, daemons and ownership records.
 
 #include <algorithm>
 #include <utility>
@@ -112,72 +112,6 @@
   return ItemEffect::kChanged;
 }
 
-RoutingDaemon::ItemEffect RoutingDaemon::RejectEndpoint(const StoreItem& item,
-                                                        const std::string& reason,
-                                                        const StoreStateOrigin& origin,
-                                                        Instant now) {
-  metrics_.IncrementCounter("malformed_endpoint_entries_total");
-  if (malformed_endpoints_.contains(item.key)) {
-    // Its writer may repeat it many times.
-    return ItemEffect::kNone;
-  }
-  log_.Warning("malformed endpoint entry bytes=" + std::to_string(item.value.size()) +
-               " key=" + item.key + " reason=" + reason);
-  const ItemEffect effect = RemoveItem(item, origin, now);
-  malformed_endpoints_.insert(item.key);
-  return effect;
-}
-
-RoutingDaemon::ItemEffect RoutingDaemon::ApplyEndpoint(const StoreItem& item,
-                                                       const StoreStateOrigin& origin,
-                                                       Instant now) {
-  std::string reason;
-  const auto entry = formats_.directory.ParseEndpoint(item, reason);
-  if (!entry) {
-    return RejectEndpoint(item, reason, origin, now);
-  }
-  malformed_endpoints_.erase(item.key);
-  if (endpoint_history_.IsOutdated(*entry, origin.restored)) {
-    log_.Info("outdated endpoint entry ignored id=" + entry->id.value());
-    return ItemEffect::kNone;
-  }
-  const bool has_returned = missing_endpoints_.erase(entry->id) > 0;
-  endpoint_history_.RecordEntry(*entry);
-  const EndpointState* known = fleet_.Find(entry->id);
-  // Endpoints rewrite their entries periodically without changes.
-  if (known != nullptr && known->entry.EqualsIgnoringProgress(*entry)) {
-    const bool has_become_cold = fleet_.HasBecomeCold(*entry, now);
-    if (entry->warm_up_left > Duration{}) {
-      fleet_.Put(*entry, now);
-    }
-    if (has_become_cold) {
-      LogIfCold(*entry, "entry", now);
-    }
-    // The others of the domain miss an endpoint that has returned as well.
-    return has_become_cold || has_returned ? ItemEffect::kChanged : ItemEffect::kNone;
-  }
-  log_.Info("endpoint listed id=" + entry->id.value() + " service=" + entry->service.value() +
-            " address=" + ToString(entry->address) + " domain=" + entry->domain.value() +
-            (entry->draining ? " draining" : " ready") +
-            " start=" + std::to_string(entry->incarnation.value) +
-            " heartbeat=" + std::to_string(entry->heartbeat) +
-            " revision=" + std::to_string(item.revision.value));
-  if (known != nullptr && known->entry.incarnation != entry->incarnation) {
-    RecordEndpointEnd(entry->id, now);
-  }
-  fleet_.Put(*entry, now);
-  LogIfCold(*entry, entry->warm_up_left > Duration{} ? "entry" : "new start", now);
-  return ItemEffect::kChanged;
-}
-
-void RoutingDaemon::LogIfCold(const EndpointEntry& entry, const std::string& reason, Instant now) {
-  const EndpointState* endpoint = fleet_.Find(entry.id);
-  if (endpoint != nullptr && endpoint->IsCold(now)) {
-    log_.Info("endpoint cold id=" + entry.id.value() + " ms=" +
-              FormatMilliseconds(endpoint->ColdUntil() - now) + " reason=\"" + reason + "\"");
-  }
-}
-
 void RoutingDaemon::ApplyServices() {
   std::set<ServiceName> names;
   for (const auto& [name, service] : routes_->config().services) {
@@ -210,31 +144,6 @@
   }
 }
 
-void RoutingDaemon::RecordEndpointEnd(const InstanceId& id, Instant now) {
-  const EndpointState* known = fleet_.Find(id);
-  if (known != nullptr && !crashing_requests_.empty()) {
-    crashing_requests_.RecordEnd({id, known->entry.incarnation}, now);
-  }
-}
-
-void RoutingDaemon::RemoveEndpoint(const InstanceId& id, Instant now) {
-  log_.Info("endpoint removed id=" + id.value());
-  RecordEndpointEnd(id, now);
-  fleet_.Remove(id, now);
-  pool_.CloseIdleConnections(id.value());
-}
-
-void RoutingDaemon::RemoveMissingEndpoints(Instant now) {
-  for (auto each = missing_endpoints_.begin(); each != missing_endpoints_.end();) {
-    if (now < each->second) {
-      ++each;
-      continue;
-    }
-    RemoveEndpoint(each->first, now);
-    each = missing_endpoints_.erase(each);
-  }
-}
-
 RoutingDaemon::ItemEffect RoutingDaemon::RemoveItem(const StoreItem& item,
                                                     const StoreStateOrigin& origin, Instant now) {
   const std::string& key = item.key;
@@ -246,6 +155,7 @@
       return ItemEffect::kNone;
     }
     endpoint_history_.RecordRemoval(id, now);
+    unconfirmed_entries_.Discard(id);
     missing_endpoints_.erase(id);
     RemoveEndpoint(id, now);
     return ItemEffect::kRemoved;
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -12,6 +12,8 @@
 
 // Delay before the next watch after a change, so that further changes come in one batch.
 constexpr std::chrono::milliseconds kBatchDelay{700};
+// The same if further changes are wanted soon.
+constexpr std::chrono::milliseconds kShortBatchDelay{100};
 // The store answers a watch after this time even if nothing changed, so that a dead
 // connection is detected soon.
 constexpr std::chrono::milliseconds kWatchWait{800};
@@ -105,6 +107,12 @@
   return contents_bytes * kEncodingNumerator / kEncodingDenominator + kWatchAllowanceBytes;
 }
 
+void StoreWatcher::SkipBatchDelay() {
+  if (consecutive_failures_ == 0) {
+    next_call_at_ = std::min<Instant>(next_call_at_, last_arrival_at_ + kShortBatchDelay);
+  }
+}
+
 void StoreWatcher::ObserveEra(StoreEra era) {
   latest_era_ = std::max(latest_era_, era);
   if (loaded() && IsOfEarlierEra(revision_)) {
--- a/src/store/store_watcher.h
+++ b/src/store/store_watcher.h
@@ -31,6 +31,8 @@
   // Sets whether this daemon watches the store even while it receives updates.
   void SetWatching(bool watching) { watching_ = watching; }
   bool watching() const { return watching_; }
+  // Makes the next watch due soon, although changes have just come.
+  void SkipBatchDelay();
   // Notes that the store is in an era. If that is later than the known contents, all is read anew:
   // changes that were known may have been lost.
   void ObserveEra(StoreEra era);
--- a/tests/core/endpoint_history_test.cc
+++ b/tests/core/endpoint_history_test.cc
@@ -9,52 +9,122 @@
 
 namespace {
 
-EndpointEntry MakeEntry(std::uint64_t incarnation, bool draining) {
+EndpointEntry MakeEntry(std::uint64_t incarnation, bool draining, std::uint64_t heartbeat = 9) {
   EndpointEntry entry;
   entry.id = InstanceId{"a"};
   entry.incarnation = {incarnation};
   entry.draining = draining;
+  entry.heartbeat = heartbeat;
   return entry;
 }
 
+// What is known of an endpoint, and how an entry is judged then.
+struct Row {
+  std::string name;
+  std::vector<EndpointEntry> known;
+  bool removed;
+  EndpointEntry entry;
+  EntryAge age_if_restored;
+  EntryAge age;
+};
+
+void CheckRow(const Row& row) {
+  CAPTURE(row.name);
+  const Instant now = Instant{} + std::chrono::hours{1};
+  EndpointHistory history;
+  for (const EndpointEntry& each : row.known) {
+    history.RecordEntry(each);
+  }
+  if (row.removed) {
+    history.RecordRemoval(InstanceId{"a"}, now);
+  }
+  CHECK(std::string{ToString(history.Judge(row.entry, true))} == ToString(row.age_if_restored));
+  CHECK(std::string{ToString(history.Judge(row.entry, false))} == ToString(row.age));
+}
+
+constexpr EntryAge kCurrent = EntryAge::kCurrent;
+constexpr EntryAge kOutdated = EntryAge::kOutdated;
+constexpr EntryAge kUnconfirmedStart = EntryAge::kUnconfirmedStart;
+
 }  // namespace
 
 TEST_CASE("an older copy of the store does not bring back endpoints that left") {
-  struct Row {
-    std::string name;
-    std::vector<EndpointEntry> known;
-    bool removed;
-    EndpointEntry entry;
-    bool outdated_if_restored;
-    bool outdated;
+  const Row rows[] = {
+      {"not known", {}, false, MakeEntry(5, false), kCurrent, kCurrent},
+      {"known as ready", {MakeEntry(5, false)}, false, MakeEntry(5, false), kCurrent, kCurrent},
+      {"draining", {MakeEntry(5, true)}, false, MakeEntry(5, false), kOutdated, kOutdated},
+      {"draining, and still so",
+       {MakeEntry(5, true)},
+       false,
+       MakeEntry(5, true),
+       kCurrent,
+       kCurrent},
+      {"removed", {MakeEntry(5, false)}, true, MakeEntry(5, false), kOutdated, kCurrent},
+      {"started again", {MakeEntry(5, true)}, true, MakeEntry(6, false), kCurrent, kCurrent},
+      {"without incarnation",
+       {MakeEntry(0, true)},
+       false,
+       MakeEntry(0, false),
+       kCurrent,
+       kUnconfirmedStart},
   };
+  for (const Row& row : rows) {
+    CheckRow(row);
+  }
+}
+
+// Guards against requests to a draining endpoint after a late write of its earlier incarnation.
+TEST_CASE("an entry of an earlier incarnation is not taken for a new start at once") {
+  const std::vector<EndpointEntry> restarted{MakeEntry(5, false, 20), MakeEntry(6, false, 1)};
   const Row rows[] = {
-      {"not known", {}, false, MakeEntry(5, false), false, false},
-      {"known as ready", {MakeEntry(5, false)}, false, MakeEntry(5, false), false, false},
-      {"draining", {MakeEntry(5, true)}, false, MakeEntry(5, false), true, true},
-      {"draining, and still so", {MakeEntry(5, true)}, false, MakeEntry(5, true), false, false},
-      {"removed", {MakeEntry(5, false)}, true, MakeEntry(5, false), true, false},
-      {"started again", {MakeEntry(5, true)}, true, MakeEntry(6, false), false, false},
-      {"copy from before a restart",
-       {MakeEntry(5, false), MakeEntry(6, false)},
+      {"heard of before", restarted, false, MakeEntry(5, false, 20), kOutdated, kOutdated},
+      {"not heard of", restarted, false, MakeEntry(5, false, 21), kOutdated, kUnconfirmedStart},
+      {"the restart drains",
+       {MakeEntry(5, false, 20), MakeEntry(6, true, 3)},
+       false,
+       MakeEntry(5, false, 21),
+       kOutdated,
+       kUnconfirmedStart},
+      {"after its removal", restarted, true, MakeEntry(5, false, 21), kOutdated, kUnconfirmedStart},
+      {"earlier incarnation unknown",
+       {MakeEntry(6, false, 1)},
+       false,
+       MakeEntry(5, false, 21),
+       kOutdated,
+       kUnconfirmedStart},
+      {"started with a clock that is behind",
+       {MakeEntry(6, false, 40)},
+       false,
+       MakeEntry(5, false, 1),
+       kOutdated,
+       kUnconfirmedStart},
+      {"overtaken, and heard of again",
+       {MakeEntry(6, false, 40), MakeEntry(5, false, 1)},
+       false,
+       MakeEntry(6, false, 41),
+       kUnconfirmedStart,
+       kUnconfirmedStart},
+      {"no incarnation any more",
+       {MakeEntry(6, false, 40)},
+       false,
+       MakeEntry(0, false, 1),
+       kOutdated,
+       kUnconfirmedStart},
+      {"no incarnation, started again",
+       {MakeEntry(0, true, 40)},
+       false,
+       MakeEntry(0, false, 1),
+       kCurrent,
+       kCurrent},
+      {"no incarnation, written late",
+       {MakeEntry(0, false, 40)},
        false,
-       MakeEntry(5, false),
-       true,
-       false},
-      {"without incarnation", {MakeEntry(0, true)}, false, MakeEntry(0, false), false, false},
+       MakeEntry(0, false, 38),
+       kCurrent,
+       kUnconfirmedStart},
   };
   for (const Row& row : rows) {
-    CAPTURE(row.name);
-    const Instant now = Instant{} + std::chrono::hours{1};
-    EndpointHistory history;
-    for (const EndpointEntry& each : row.known) {
-      history.RecordEntry(each);
-    }
-    if (row.removed) {
-      history.RecordRemoval(InstanceId{"a"}, now);
-    }
-    CHECK(history.IsOutdated(row.entry, true) == row.outdated_if_restored);
-    CHECK(history.IsOutdated(row.entry, false) == row.outdated);
+    CheckRow(row);
   }
 }
 
@@ -64,5 +134,5 @@
   history.RecordEntry(MakeEntry(5, false));
   history.RecordRemoval(InstanceId{"a"}, now);
   history.RecordRemoval(InstanceId{"b"}, now + std::chrono::minutes{11});
-  CHECK_FALSE(history.IsOutdated(MakeEntry(5, false), true));
+  CHECK(history.Judge(MakeEntry(5, false), true) == EntryAge::kCurrent);
 }
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -110,7 +110,8 @@
 
 std::string EndpointEntryJson(const std::string& service, const NetworkAddress& address, int slots,
                               const std::string& state, std::uint64_t start,
-                              const std::string& domain = "north", double warm_up_left_s = 0) {
+                              std::uint64_t heartbeat = 1, const std::string& domain = "north",
+                              double warm_up_left_s = 0) {
   return json{{"service", service},
               {"address", ToString(address)},
               {"zone", domain},
@@ -118,7 +119,7 @@
               {"max_concurrency", slots},
               {"state", state},
               {"warmup_left_s", warm_up_left_s},
-              {"seq", 1},
+              {"seq", heartbeat},
               {"born", start}}
       .dump();
 }
@@ -305,15 +306,25 @@
   store.Put("op/config", body.dump());
 }
 
-void RouterDeployment::RegisterEndpoint(const fakes::KeyEndpoint& endpoint,
+std::string RouterDeployment::NextEntry(const fakes::KeyEndpoint& endpoint,
                                         const std::string& state, std::uint64_t start,
                                         const std::string& domain, double warm_up_left_s) {
   const bool owns_keys = endpoint.id().starts_with("soil");
   const bool proxied = proxy_addresses_.contains(endpoint.id());
   const NetworkAddress address = proxied ? proxy_addresses_.at(endpoint.id()) : endpoint.address();
-  store.Put("servers/" + endpoint.id(),
-            EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start, domain,
-                              warm_up_left_s));
+  const std::uint64_t heartbeat = ++heartbeats_[{endpoint.id(), start}];
+  return EndpointEntryJson(owns_keys ? "soil" : "pumps", address, kSlots, state, start, heartbeat,
+                           domain, warm_up_left_s);
+}
+
+void RouterDeployment::RegisterEndpoint(const fakes::KeyEndpoint& endpoint,
+                                        const std::string& state, std::uint64_t start,
+                                        const std::string& domain, double warm_up_left_s) {
+  WriteEntry(endpoint, NextEntry(endpoint, state, start, domain, warm_up_left_s));
+}
+
+void RouterDeployment::WriteEntry(const fakes::KeyEndpoint& endpoint, const std::string& entry) {
+  store.Put("servers/" + endpoint.id(), entry);
 }
 
 void RouterDeployment::RegisterPumpAt(const std::string& id, const NetworkAddress& address) {
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fakes/datagram_proxy.h"
@@ -64,7 +65,14 @@
                    int route_timeout_s = 1);
   // The longest body that the configurations written from now on allow, in bytes.
   void SetMaxBodyBytes(std::size_t bytes) { max_body_bytes_ = bytes; }
-  // Writes an endpoint's entry to the store once; it is not renewed.
+  // The entry that an endpoint writes with its next heartbeat. Each start counts its heartbeats
+  // anew.
+  std::string NextEntry(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
+                        std::uint64_t start = 1, const std::string& domain = "north",
+                        double warm_up_left_s = 0);
+  // Writes an entry of an endpoint to the store.
+  void WriteEntry(const fakes::KeyEndpoint& endpoint, const std::string& entry);
+  // Writes an endpoint's next entry to the store once; it is not renewed.
   void RegisterEndpoint(const fakes::KeyEndpoint& endpoint, const std::string& state = "ready",
                         std::uint64_t start = 1, const std::string& domain = "north",
                         double warm_up_left_s = 0);
@@ -134,6 +142,8 @@
   void AddPeerProxy(const std::string& daemon, std::uint16_t peer_port);
 
   const ConnectionKind connection_kind_;
+  // The heartbeats of each start of an endpoint so far.
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> heartbeats_;
   // The proxy addresses of endpoints, by endpoint id.
   std::map<std::string, NetworkAddress> proxy_addresses_;
   std::vector<std::unique_ptr<fakes::DatagramProxy>> peer_proxies_;
