Tell an entry that was written late from an endpoint that is back

Cause: after a removal each entry of the same incarnation was taken for the endpoint's return, as a daemon forgot how many heartbeats it had heard of. Change: the heartbeat count is remembered for ten minutes after a removal. A count that is not above it is outdated. One above it proves nothing by itself, since entries may change less often than heartbeats come: within 10 s after the removal it is held back, as is that of an endpoint which this daemon does not know and which has run for long (it may have left before the daemon started). A further heartbeat confirms it, or a health check where the service names a path (new HealthChecker, HealthFormat), or that it stays in the list for 4 s, longer than an entry that nobody renews. Entries that lapsed in a silence of the store or were overwritten by another writer are taken at once, if their count has risen. The row "removed" of the history test named the fault as right and is outdated now.

--- a/src/core/endpoint_history.cc
+++ b/src/core/endpoint_history.cc
@@ -8,6 +8,8 @@
 
 // How long a removed endpoint is remembered.
 constexpr std::chrono::minutes kRetention{10};
+// A write that the store did not answer is carried out this much later at the most.
+constexpr std::chrono::seconds kMaxWriteDelay{10};
 // An endpoint that has just started has sent no more heartbeats than this.
 constexpr std::uint64_t kMaxFirstHeartbeat = 3;
 // More incarnations of an endpoint do not start while writes of the first may still come.
@@ -21,6 +23,8 @@
       return "current";
     case EntryAge::kOutdated:
       return "outdated";
+    case EntryAge::kUnconfirmedReturn:
+      return "unconfirmed return";
     case EntryAge::kUnconfirmedStart:
       break;
   }
@@ -44,62 +48,88 @@
       entry.incarnation.value == 0 ? entry.heartbeat : std::max(known.heartbeat, entry.heartbeat);
   known.incarnation = entry.incarnation;
   known.draining = entry.draining;
-  known.removed_at.reset();
+  known.removal.reset();
 }
 
-void EndpointHistory::RecordRemoval(const InstanceId& id, Instant now) {
+void EndpointHistory::RecordRemoval(const InstanceId& id, RemovalCause cause, Instant now) {
   const auto known = endpoints_.find(id);
   if (known != endpoints_.end()) {
-    known->second.removed_at = now;
+    known->second.removal = Removal{cause, now};
   }
   DiscardOld(now);
 }
 
 void EndpointHistory::DiscardOld(Instant now) {
   std::erase_if(endpoints_, [now](const auto& each) {
-    return each.second.removed_at && now - *each.second.removed_at > kRetention;
+    return each.second.removal && now - each.second.removal->at > kRetention;
   });
 }
 
-EntryAge EndpointHistory::Judge(const EndpointEntry& entry, bool restored) const {
+bool EndpointHistory::MayPrecedeRemoval(const KnownEndpoint& known, Instant now) {
+  return known.removal && known.removal->cause == RemovalCause::kRemoved &&
+         now - known.removal->at < kMaxWriteDelay;
+}
+
+EntryAge EndpointHistory::Judge(const EndpointEntry& entry, bool restored, Instant now) const {
   const auto known = endpoints_.find(entry.id);
   if (known == endpoints_.end()) {
-    return EntryAge::kCurrent;
+    // It is back in the list, or has left before this daemon started.
+    const bool is_new = !loaded_ || entry.heartbeat <= kMaxFirstHeartbeat;
+    return is_new ? EntryAge::kCurrent : EntryAge::kUnconfirmedReturn;
   }
   if (entry.incarnation != known->second.incarnation) {
-    return JudgeOtherIncarnation(entry, known->second, restored);
+    return JudgeOtherIncarnation(entry, known->second, restored, now);
   }
   if (entry.incarnation.value == 0) {
-    return restored ? EntryAge::kCurrent : JudgeWithoutIncarnation(entry, known->second);
+    return restored ? EntryAge::kCurrent : JudgeWithoutIncarnation(entry, known->second, now);
   }
-  return JudgeSameIncarnation(entry, known->second, restored);
+  return JudgeSameIncarnation(entry, known->second, restored, now);
 }
 
 EntryAge EndpointHistory::JudgeSameIncarnation(const EndpointEntry& entry,
-                                               const KnownEndpoint& known, bool restored) {
-  const bool has_left = restored && known.removed_at.has_value();
-  const bool contradicts = known.draining && !entry.draining;
-  return has_left || contradicts ? EntryAge::kOutdated : EntryAge::kCurrent;
+                                               const KnownEndpoint& known, bool restored,
+                                               Instant now) {
+  if (known.draining && !entry.draining) {
+    return EntryAge::kOutdated;
+  }
+  if (restored) {
+    return known.removal ? EntryAge::kOutdated : EntryAge::kCurrent;
+  }
+  const bool is_repeated = known.removal && entry.heartbeat == known.heartbeat;
+  if (entry.heartbeat < known.heartbeat || is_repeated) {
+    return EntryAge::kOutdated;
+  }
+  return MayPrecedeRemoval(known, now) ? EntryAge::kUnconfirmedReturn : EntryAge::kCurrent;
 }
 
 EntryAge EndpointHistory::JudgeOtherIncarnation(const EndpointEntry& entry,
-                                                const KnownEndpoint& known, bool restored) {
+                                                const KnownEndpoint& known, bool restored,
+                                                Instant now) {
   if (restored && entry.incarnation < known.incarnation) {
     return EntryAge::kOutdated;
   }
   const auto earlier = known.earlier.find(entry.incarnation);
-  if (earlier != known.earlier.end()) {
-    return entry.heartbeat <= earlier->second ? EntryAge::kOutdated : EntryAge::kUnconfirmedStart;
+  const bool was_known = earlier != known.earlier.end();
+  if (was_known && entry.heartbeat <= earlier->second) {
+    return EntryAge::kOutdated;
   }
   // Clocks of machines differ, so that a later start may have an earlier time.
-  return entry.incarnation > known.incarnation ? EntryAge::kCurrent : EntryAge::kUnconfirmedStart;
+  const bool started_later = entry.incarnation > known.incarnation && !was_known;
+  const bool is_past_late_writes = known.removal && !MayPrecedeRemoval(known, now);
+  if (started_later || is_past_late_writes) {
+    return EntryAge::kCurrent;
+  }
+  return known.removal ? EntryAge::kUnconfirmedReturn : EntryAge::kUnconfirmedStart;
 }
 
 EntryAge EndpointHistory::JudgeWithoutIncarnation(const EndpointEntry& entry,
-                                                  const KnownEndpoint& known) {
-  if (known.removed_at || entry.heartbeat <= kMaxFirstHeartbeat) {
+                                                  const KnownEndpoint& known, Instant now) {
+  if (entry.heartbeat <= kMaxFirstHeartbeat) {
     return EntryAge::kCurrent;
   }
+  if (known.removal) {
+    return MayPrecedeRemoval(known, now) ? EntryAge::kUnconfirmedReturn : EntryAge::kCurrent;
+  }
   const bool contradicts = known.draining && !entry.draining;
   return contradicts || entry.heartbeat < known.heartbeat ? EntryAge::kUnconfirmedStart
                                                           : EntryAge::kCurrent;
--- a/src/core/routing_config.h
+++ b/src/core/routing_config.h
@@ -61,6 +61,8 @@
   bool has_exclusive_keys = false;
   // Connections that one endpoint accepts from all daemons together.
   std::size_t max_connections = 0;
+  // The path of health checks of its endpoints; empty if they have none.
+  std::string health_path;
   // How long a key stays slow after moving without its previous owner's state.
   Duration warm_up{};
   // How long an endpoint is cold after its start, and the requests per second that it bears then; 0
--- a/src/core/unconfirmed_entries.cc
+++ b/src/core/unconfirmed_entries.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// An entry of an endpoint that is silent for three heartbeats is removed, so one that stays for
+// longer has been renewed.
+constexpr std::chrono::milliseconds kRenewalTime{4000};
 // An endpoint that runs overwrites a late entry of its earlier incarnation with its next heartbeat.
 constexpr std::chrono::milliseconds kOverwriteTime{1200};
 // Two late writes of an earlier incarnation may come one after the other, but the incarnation that
@@ -17,9 +20,10 @@
 }  // namespace
 
 bool UnconfirmedEntries::Renews(const Candidate& candidate, const Candidate& earlier) {
+  const bool is_spaced = candidate.age == EntryAge::kUnconfirmedReturn ||
+                         candidate.since - earlier.since >= kMinRenewalGap;
   return candidate.entry.incarnation == earlier.entry.incarnation &&
-         candidate.entry.heartbeat > earlier.entry.heartbeat &&
-         candidate.since - earlier.since >= kMinRenewalGap;
+         candidate.entry.heartbeat > earlier.entry.heartbeat && is_spaced;
 }
 
 bool UnconfirmedEntries::Add(const Candidate& candidate) {
@@ -38,10 +42,23 @@
   return false;
 }
 
+std::optional<UnconfirmedEntries::Candidate> UnconfirmedEntries::Confirm(const EndpointEntry& entry,
+                                                                         Instant now) {
+  const auto held = candidates_.find(entry.id);
+  if (held == candidates_.end() || held->second.entry != entry) {
+    return std::nullopt;
+  }
+  Candidate confirmed = held->second;
+  RecordConfirmation(entry.id, now);
+  return confirmed;
+}
+
 std::vector<UnconfirmedEntries::Candidate> UnconfirmedEntries::TakeConfirmed(Instant now) {
   std::vector<Candidate> confirmed;
   for (const auto& [id, candidate] : candidates_) {
-    if (now - candidate.since >= kOverwriteTime) {
+    const Duration needed =
+        candidate.age == EntryAge::kUnconfirmedReturn ? kRenewalTime : kOverwriteTime;
+    if (now - candidate.since >= needed) {
       confirmed.push_back(candidate);
     }
   }
--- a/src/router/formats.h
+++ b/src/router/formats.h
@@ -95,6 +95,19 @@
   virtual OrderReply ParseReleaseReply(const HttpAnswer& answer) const = 0;
 };
 
+// Formats health checks of endpoints and judges the answers.
+class HealthFormat {
+ public:
+  virtual ~HealthFormat() = default;
+
+  // Formats a check of an endpoint whose service names the path.
+  virtual OutgoingMessage FormatCheck(const std::string& path,
+                                      const InstanceId& endpoint) const = 0;
+  // Whether the answer is of that endpoint, which takes requests and is not being removed from
+  // service.
+  virtual bool IsHealthy(const HttpAnswer& answer, const InstanceId& endpoint) const = 0;
+};
+
 // Recognizes and parses the store items written by operators and endpoints.
 class DirectoryFormat {
  public:
--- a/src/router/routing_daemon.cc
+++ b/src/router/routing_daemon.cc
@@ -126,6 +126,8 @@
                      HandleUncaughtError("message", error);
                    }
                  }),
+      health_checker_(pool_, formats_.health,
+                      [this](const EndpointEntry& entry) { ConfirmHealthyEndpoint(entry); }),
       cold_limiter_(settings_.instance, {settings_.cold_rate_factor, settings_.cold_rate_slack}),
       retry_budget_(settings_.retries),
       evacuations_(fleet_, log_, metrics_),
@@ -266,7 +268,7 @@
   const Instant now = BootNow();
   LogStall(now);
   last_tick_at_ = now;
-  store_answered_at_ = store_watcher_.last_answer_at();
+  NoteStoreAnswer(now);
   const StoreWatchRole role = ChooseWatchRole(now);
   const bool should_watch = role == StoreWatchRole::kWatcher;
   if (std::exchange(watches_for_domain_, should_watch) != should_watch) {
--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -20,6 +20,7 @@
 #include "router/daemon_transport.h"
 #include "router/endpoint_hashes.h"
 #include "router/evacuation_registry.h"
+#include "router/health_checker.h"
 #include "router/key_service.h"
 #include "router/memory_reporter.h"
 #include "router/request_relay.h"
@@ -30,10 +31,11 @@
 
 namespace sycamorestall {
 
-// The formats of requests, key orders and store items.
+// The formats of requests, key orders, health checks and store items.
 struct Formats {
   const RequestFormat& requests;
   const OrderFormat& orders;
+  const HealthFormat& health;
   const DirectoryFormat& directory;
 };
 
@@ -104,12 +106,23 @@
   bool ListEndpoint(const EndpointEntry& entry, Revision revision, Instant now);
   // Lists the endpoints whose entries were held back and are confirmed now.
   void ConfirmEndpoints(Instant now);
+  // Checks the health of endpoints whose entries are held back, where that can confirm them.
+  void CheckUnconfirmedEndpoints(Instant now);
+  // Lists an endpoint that is healthy if the entry is still held back.
+  void ConfirmHealthyEndpoint(const EndpointEntry& entry);
+  // Notes how recent what is known of the store is.
+  void NoteStoreAnswer(Instant now);
+  // Whether the store has just answered again after a silence, in which it may have lost entries of
+  // endpoints that could not renew them.
+  bool WasStoreSilent(Instant now) const;
   // Handles an entry that names no endpoint to use: it counts as removed.
   ItemEffect RejectEndpoint(const StoreItem& item, const std::string& reason,
                             const StoreStateOrigin& origin, Instant now);
   ItemEffect ApplyConfig(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   ItemEffect RemoveItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   void RemoveEndpoint(const InstanceId& id, Instant now);
+  // Notes the removal of an endpoint's entry, and why it is gone.
+  void RecordRemoval(const InstanceId& id, RemovalCause cause, Instant now);
   // Notes that the listed run of an endpoint has ended.
   void RecordEndpointEnd(const InstanceId& id, Instant now);
   // Removes the endpoints that have not returned since the store lost their entries.
@@ -213,6 +226,8 @@
   OperatorWatch operator_watch_;
   // When the store gave the answer behind what was known at the latest tick.
   Instant store_answered_at_;
+  // When the store last answered again after a silence.
+  std::optional<Instant> store_silence_ended_at_;
   // The era of the applied items.
   StoreEra store_era_;
   bool watches_for_domain_ = true;
@@ -230,6 +245,7 @@
   EndpointHashes endpoint_hashes_;
   EndpointHistory endpoint_history_;
   UnconfirmedEntries unconfirmed_entries_;
+  HealthChecker health_checker_;
   // Endpoints whose entries the store lost, and when they count as gone.
   std::map<InstanceId, Instant> missing_endpoints_;
   // The keys of entries that name no endpoint to use.
--- a/src/router/routing_daemon_endpoints.cc
+++ b/src/router/routing_daemon_endpoints.cc
@@ -5,6 +5,15 @@
 
 namespace sycamorestall {
 
+namespace {
+
+// After a silence of the store of this length entries of endpoints may be missing which live.
+constexpr std::chrono::milliseconds kStoreSilence{2500};
+// For how long after a silence the store may remove them.
+constexpr std::chrono::milliseconds kLossAfterSilence{1000};
+
+}  // namespace
+
 RoutingDaemon::ItemEffect RoutingDaemon::RejectEndpoint(const StoreItem& item,
                                                         const std::string& reason,
                                                         const StoreStateOrigin& origin,
@@ -17,6 +26,10 @@
   log_.Warning("malformed endpoint entry bytes=" + std::to_string(item.value.size()) +
                " key=" + item.key + " reason=" + reason);
   const ItemEffect effect = RemoveItem(item, origin, now);
+  if (effect == ItemEffect::kRemoved) {
+    // Its endpoint may overwrite it with the next heartbeat.
+    RecordRemoval(formats_.directory.EndpointIdFromKey(item.key), RemovalCause::kLost, now);
+  }
   malformed_endpoints_.insert(item.key);
   return effect;
 }
@@ -30,7 +43,7 @@
     return RejectEndpoint(item, reason, origin, now);
   }
   malformed_endpoints_.erase(item.key);
-  const EntryAge age = endpoint_history_.Judge(*entry, origin.restored);
+  const EntryAge age = endpoint_history_.Judge(*entry, origin.restored, now);
   if (age == EntryAge::kOutdated) {
     LogEndpointEntry("outdated endpoint entry ignored", *entry, item.revision, age);
     return ItemEffect::kNone;
@@ -43,7 +56,7 @@
     return has_changed || was_contradicted || may_be_awaited ? ItemEffect::kChanged
                                                              : ItemEffect::kNone;
   }
-  if (unconfirmed_entries_.Add({*entry, item.revision, now})) {
+  if (unconfirmed_entries_.Add({*entry, item.revision, age, now})) {
     LogEndpointEntry("endpoint entry confirmed by the next", *entry, item.revision, age);
     ListEndpoint(*entry, item.revision, now);
   } else {
@@ -91,19 +104,64 @@
   return true;
 }
 
+void RoutingDaemon::RecordRemoval(const InstanceId& id, RemovalCause cause, Instant now) {
+  endpoint_history_.RecordRemoval(id, cause, now);
+  unconfirmed_entries_.Discard(id);
+}
+
+void RoutingDaemon::NoteStoreAnswer(Instant now) {
+  const Instant answered_at = store_watcher_.last_answer_at();
+  if (answered_at - store_answered_at_ > kStoreSilence) {
+    store_silence_ended_at_ = now;
+  }
+  store_answered_at_ = answered_at;
+}
+
+bool RoutingDaemon::WasStoreSilent(Instant now) const {
+  const bool ends_now = now - store_answered_at_ > kStoreSilence;
+  return ends_now ||
+         (store_silence_ended_at_ && now - *store_silence_ended_at_ < kLossAfterSilence);
+}
+
 void RoutingDaemon::ConfirmEndpoints(Instant now) {
   if (unconfirmed_entries_.empty()) {
     return;
   }
   // What overwrites or removes such an entry is to be known soon.
   store_watcher_.SkipBatchDelay();
+  CheckUnconfirmedEndpoints(now);
   for (const auto& each : unconfirmed_entries_.TakeConfirmed(now)) {
-    LogEndpointEntry("endpoint entry confirmed by its stay", each.entry, each.revision,
-                     EntryAge::kUnconfirmedStart);
+    LogEndpointEntry("endpoint entry confirmed by its stay", each.entry, each.revision, each.age);
     ListEndpoint(each.entry, each.revision, now);
   }
 }
 
+void RoutingDaemon::CheckUnconfirmedEndpoints(Instant now) {
+  if (!routes_) {
+    return;
+  }
+  for (const auto& [id, candidate] : unconfirmed_entries_.candidates()) {
+    const auto& services = routes_->config().services;
+    const auto service = services.find(candidate.entry.service);
+    // Where a running endpoint has the same address, its health says nothing of the start.
+    const EndpointState* listed = fleet_.Find(id);
+    const bool is_informative =
+        listed == nullptr || listed->entry.address != candidate.entry.address;
+    if (service != services.end() && !service->second.health_path.empty() && is_informative) {
+      health_checker_.Check(candidate.entry, service->second.health_path, now);
+    }
+  }
+}
+
+void RoutingDaemon::ConfirmHealthyEndpoint(const EndpointEntry& entry) {
+  const Instant now = BootNow();
+  if (const auto confirmed = unconfirmed_entries_.Confirm(entry, now)) {
+    LogEndpointEntry("endpoint entry confirmed by its health", entry, confirmed->revision,
+                     confirmed->age);
+    ListEndpoint(entry, confirmed->revision, now);
+  }
+}
+
 void RoutingDaemon::LogIfCold(const EndpointEntry& entry, const std::string& reason, Instant now) {
   const EndpointState* endpoint = fleet_.Find(entry.id);
   if (endpoint != nullptr && endpoint->IsCold(now)) {
--- a/src/router/routing_daemon_store.cc
+++ b/src/router/routing_daemon_store.cc
@@ -73,6 +73,7 @@
     }
   }
   fleet_.FinishLoading();
+  endpoint_history_.FinishLoading();
   ApplyRecords(now);
   update_relay_.SendSoon(now);
   if (origin.source != StoreStateSource::kRelay &&
@@ -154,8 +155,7 @@
       missing_endpoints_.emplace(id, now + kEndpointReturnTime);
       return ItemEffect::kNone;
     }
-    endpoint_history_.RecordRemoval(id, now);
-    unconfirmed_entries_.Discard(id);
+    RecordRemoval(id, WasStoreSilent(now) ? RemovalCause::kLost : RemovalCause::kRemoved, now);
     missing_endpoints_.erase(id);
     RemoveEndpoint(id, now);
     return ItemEffect::kRemoved;
--- a/tests/core/endpoint_history_test.cc
+++ b/tests/core/endpoint_history_test.cc
@@ -36,14 +36,16 @@
     history.RecordEntry(each);
   }
   if (row.removed) {
-    history.RecordRemoval(InstanceId{"a"}, now);
+    history.RecordRemoval(InstanceId{"a"}, RemovalCause::kRemoved, now);
   }
-  CHECK(std::string{ToString(history.Judge(row.entry, true))} == ToString(row.age_if_restored));
-  CHECK(std::string{ToString(history.Judge(row.entry, false))} == ToString(row.age));
+  CHECK(std::string{ToString(history.Judge(row.entry, true, now))} ==
+        ToString(row.age_if_restored));
+  CHECK(std::string{ToString(history.Judge(row.entry, false, now))} == ToString(row.age));
 }
 
 constexpr EntryAge kCurrent = EntryAge::kCurrent;
 constexpr EntryAge kOutdated = EntryAge::kOutdated;
+constexpr EntryAge kUnconfirmedReturn = EntryAge::kUnconfirmedReturn;
 constexpr EntryAge kUnconfirmedStart = EntryAge::kUnconfirmedStart;
 
 }  // namespace
@@ -59,7 +61,7 @@
        MakeEntry(5, true),
        kCurrent,
        kCurrent},
-      {"removed", {MakeEntry(5, false)}, true, MakeEntry(5, false), kOutdated, kCurrent},
+      {"removed", {MakeEntry(5, false)}, true, MakeEntry(5, false), kOutdated, kOutdated},
       {"started again", {MakeEntry(5, true)}, true, MakeEntry(6, false), kCurrent, kCurrent},
       {"without incarnation",
        {MakeEntry(0, true)},
@@ -85,7 +87,8 @@
        MakeEntry(5, false, 21),
        kOutdated,
        kUnconfirmedStart},
-      {"after its removal", restarted, true, MakeEntry(5, false, 21), kOutdated, kUnconfirmedStart},
+      {"after its removal", restarted, true, MakeEntry(5, false, 21), kOutdated,
+       kUnconfirmedReturn},
       {"earlier incarnation unknown",
        {MakeEntry(6, false, 1)},
        false,
@@ -128,11 +131,83 @@
   }
 }
 
+// Guards against requests to an endpoint that has left after a late write of an earlier heartbeat.
+TEST_CASE("an entry that comes after the removal of its endpoint is told from a late one") {
+  struct RemovalRow {
+    std::string name;
+    EndpointEntry known;
+    RemovalCause cause;
+    EndpointEntry entry;
+    int later_ms;
+    EntryAge age;
+  };
+  constexpr auto kRemoved = RemovalCause::kRemoved;
+  constexpr auto kLost = RemovalCause::kLost;
+  const RemovalRow rows[] = {
+      {"earlier", MakeEntry(5, false, 20), kRemoved, MakeEntry(5, false, 15), 2750, kOutdated},
+      {"the same", MakeEntry(5, false, 20), kRemoved, MakeEntry(5, false, 20), 2750, kOutdated},
+      {"later", MakeEntry(5, false, 20), kRemoved, MakeEntry(5, false, 21), 2750,
+       kUnconfirmedReturn},
+      {"later, after all late writes", MakeEntry(5, false, 20), kRemoved, MakeEntry(5, false, 33),
+       11'000, kCurrent},
+      {"earlier, after all late writes", MakeEntry(5, false, 20), kRemoved, MakeEntry(5, false, 15),
+       11'000, kOutdated},
+      {"back after the store had lost it", MakeEntry(5, false, 20), kLost, MakeEntry(5, false, 23),
+       500, kCurrent},
+      {"earlier, after the store had lost it", MakeEntry(5, false, 20), kLost,
+       MakeEntry(5, false, 19), 500, kOutdated},
+      {"a new start", MakeEntry(5, false, 20), kRemoved, MakeEntry(6, false, 1), 500, kCurrent},
+      {"a start with a clock that is behind", MakeEntry(5, false, 20), kRemoved,
+       MakeEntry(4, false, 1), 500, kUnconfirmedReturn},
+      {"the same after all late writes", MakeEntry(5, false, 20), kRemoved, MakeEntry(4, false, 1),
+       11'000, kCurrent},
+      {"no incarnation, started again", MakeEntry(0, false, 20), kRemoved, MakeEntry(0, false, 1),
+       500, kCurrent},
+      {"no incarnation, later", MakeEntry(0, false, 20), kRemoved, MakeEntry(0, false, 21), 500,
+       kUnconfirmedReturn},
+  };
+  for (const RemovalRow& row : rows) {
+    CAPTURE(row.name);
+    const Instant now = Instant{} + std::chrono::hours{1};
+    EndpointHistory history;
+    history.FinishLoading();
+    history.RecordEntry(row.known);
+    history.RecordRemoval(InstanceId{"a"}, row.cause, now);
+    const EntryAge age =
+        history.Judge(row.entry, false, now + std::chrono::milliseconds{row.later_ms});
+    CHECK(std::string{ToString(age)} == ToString(row.age));
+  }
+}
+
+TEST_CASE("an unknown endpoint that has run for long is confirmed first") {
+  struct UnknownRow {
+    std::string name;
+    bool is_loaded;
+    std::uint64_t heartbeat;
+    EntryAge age;
+  };
+  const UnknownRow rows[] = {{"listed at the daemon's start", false, 40, kCurrent},
+                             {"has just started", true, 1, kCurrent},
+                             {"some heartbeats were lost", true, 3, kCurrent},
+                             {"runs for long", true, 40, kUnconfirmedReturn}};
+  for (const UnknownRow& row : rows) {
+    CAPTURE(row.name);
+    EndpointHistory history;
+    if (row.is_loaded) {
+      history.FinishLoading();
+    }
+    const EntryAge age =
+        history.Judge(MakeEntry(5, false, row.heartbeat), false, Instant{} + std::chrono::hours{1});
+    CHECK(std::string{ToString(age)} == ToString(row.age));
+  }
+}
+
 TEST_CASE("an endpoint removed long ago is forgotten") {
   const Instant now = Instant{} + std::chrono::hours{1};
   EndpointHistory history;
   history.RecordEntry(MakeEntry(5, false));
-  history.RecordRemoval(InstanceId{"a"}, now);
-  history.RecordRemoval(InstanceId{"b"}, now + std::chrono::minutes{11});
-  CHECK(history.Judge(MakeEntry(5, false), true) == EntryAge::kCurrent);
+  history.RecordRemoval(InstanceId{"a"}, RemovalCause::kRemoved, now);
+  history.RecordRemoval(InstanceId{"b"}, RemovalCause::kRemoved, now + std::chrono::minutes{11});
+  CHECK(history.Judge(MakeEntry(5, false), true, now + std::chrono::minutes{11}) ==
+        EntryAge::kCurrent);
 }
--- a/tests/fakes/key_endpoint.cc
+++ b/tests/fakes/key_endpoint.cc
@@ -226,9 +226,21 @@
   return fault_;
 }
 
+void KeyEndpoint::AnswerHealthCheck(CallerExchange& exchange) {
+  OutgoingMessage message;
+  message.head = AnswerHead(leaving_ ? 503 : 200);
+  AppendHeader(message.head, "X-Instance-Id", id_);
+  AppendHeader(message.head, "Content-Length", "0");
+  exchange.Answer(std::move(message));
+}
+
 void KeyEndpoint::HandleRequest(std::shared_ptr<CallerExchange> exchange) {
   const std::lock_guard lock{mutex_};
   const std::string target{exchange->request().target()};
+  if (target == kHealthPath) {
+    AnswerHealthCheck(*exchange);
+    return;
+  }
   const std::string expected = HeaderValue(*exchange, "X-Expect-Instance");
   const bool is_for_another_instance = !expected.empty() && expected != id_;
   const bool is_order = target == "/v1/grant" || target == "/v1/release";
--- a/tests/fakes/key_endpoint.h
+++ b/tests/fakes/key_endpoint.h
@@ -32,6 +32,9 @@
   kWrongIdOnFirstAttempt,
 };
 
+// The path of health checks, which are not counted as requests.
+inline constexpr char kHealthPath[] = "/health";
+
 // Fake endpoint of the platform: applies grants and releases of keys, and runs requests for
 // the keys that it holds.
 class KeyEndpoint : public CallerHandler {
@@ -92,6 +95,8 @@
   // without one.
   void SendOrderReply(CallerExchange& exchange, unsigned status, const std::string& headers,
                       const std::string& body);
+  // Answers that it is healthy, or that it is being removed from service.
+  void AnswerHealthCheck(CallerExchange& exchange);
   void SendNotExecuted(CallerExchange& exchange, unsigned status);
   void SendAnswer(CallerExchange& exchange, EndpointFault fault);
   // Ends all connections after a crash, and listens no more.
--- a/tests/router/late_entry_test.cc
+++ b/tests/router/late_entry_test.cc
@@ -1,6 +1,7 @@
 // Entries of endpoints that the store writes late, and endpoints that are back.
 
 #include <doctest/doctest.h>
+#include <signal.h>
 
 #include <chrono>
 #include <string>
@@ -24,6 +25,10 @@
   // The store carries the unanswered heartbeat out.
   kLateWrite,
   kRemoval,
+  // It says in its answers that it is being removed from service.
+  kLeaving,
+  // All daemons are killed and started again.
+  kDaemonRestart,
 };
 
 struct Step {
@@ -40,6 +45,8 @@
   int from_ms = 0;
   int until_ms = 0;
   bool is_used = false;
+  // Whether the configuration names a path for health checks.
+  bool has_health_checks = false;
 };
 
 class EndpointScript {
@@ -61,12 +68,26 @@
       case Action::kRemoval:
         deployment_.DeregisterEndpoint(endpoint_);
         break;
+      case Action::kLeaving:
+        endpoint_.SetLeaving(true);
+        break;
+      case Action::kDaemonRestart:
+        RestartDaemons();
+        break;
     }
   }
 
  private:
+  void RestartDaemons() {
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      deployment_.SendSignal(i, SIGKILL);
+      deployment_.WaitForExit(i);
+      deployment_.StartDaemon(i);
+    }
+  }
+
   RouterDeployment& deployment_;
-  const sycamorestall::fakes::KeyEndpoint& endpoint_;
+  sycamorestall::fakes::KeyEndpoint& endpoint_;
   std::string unanswered_;
 };
 
@@ -97,6 +118,10 @@
 void CheckRow(const Row& row) {
   CAPTURE(row.name);
   RouterDeployment deployment{kDaemons, 1, 2};
+  if (row.has_health_checks) {
+    deployment.health_path = sycamorestall::fakes::kHealthPath;
+    deployment.WriteConfig(2);
+  }
   REQUIRE(deployment.WaitUntilServed());
   const int requests = CountRequests(deployment, row);
   CAPTURE(requests);
@@ -149,3 +174,96 @@
     CheckRow(row);
   }
 }
+
+// Guards against requests to an endpoint that has left after the store has carried out one of its
+// earlier writes late (review/14).
+TEST_CASE("a late entry does not bring an endpoint back that has left") {
+  const Row rows[] = {
+      {"earlier than the last one",
+       {{0, Action::kHeartbeat},
+        {50, Action::kUnansweredHeartbeat},
+        {300, Action::kHeartbeat},
+        {1200, Action::kHeartbeat},
+        {2000, Action::kRemoval},
+        {3500, Action::kLateWrite}},
+       3500,
+       6500,
+       false},
+      {"not heard of before",
+       {{50, Action::kUnansweredHeartbeat}, {1200, Action::kRemoval}, {2700, Action::kLateWrite}},
+       2700,
+       6000,
+       false},
+      {"of an earlier incarnation",
+       {{50, Action::kUnansweredHeartbeat, 1},
+        {300, Action::kHeartbeat, 2},
+        {1200, Action::kRemoval},
+        {2700, Action::kLateWrite}},
+       2700,
+       6000,
+       false},
+      {"the daemons have started again since",
+       {{0, Action::kHeartbeat},
+        {300, Action::kHeartbeat},
+        {600, Action::kHeartbeat},
+        {900, Action::kUnansweredHeartbeat},
+        {1200, Action::kRemoval},
+        {1500, Action::kDaemonRestart},
+        {4500, Action::kLateWrite}},
+       4500,
+       7500,
+       false},
+      {"asked for its health",
+       {{50, Action::kUnansweredHeartbeat},
+        {1200, Action::kLeaving},
+        {1210, Action::kRemoval},
+        {2700, Action::kLateWrite}},
+       2700,
+       6000,
+       false,
+       true},
+  };
+  for (const Row& row : rows) {
+    CheckRow(row);
+  }
+}
+
+// Guards against endpoints that stay without requests as their entries are taken for late ones.
+TEST_CASE("an endpoint whose entry lapsed gets requests soon after it is back") {
+  const Row rows[] = {
+      {"its entry changes with each heartbeat",
+       {{1000, Action::kRemoval},
+        {2500, Action::kHeartbeat},
+        {3370, Action::kHeartbeat},
+        {4240, Action::kHeartbeat}},
+       2500,
+       4500,
+       true},
+      {"its entry does not change any more",
+       {{1000, Action::kRemoval}, {2500, Action::kHeartbeat}},
+       2500,
+       4500,
+       true,
+       true},
+      {"the daemons have started again since",
+       {{0, Action::kHeartbeat},
+        {300, Action::kHeartbeat},
+        {600, Action::kHeartbeat},
+        {1000, Action::kRemoval},
+        {1300, Action::kDaemonRestart},
+        {4500, Action::kHeartbeat},
+        {5370, Action::kHeartbeat},
+        {6240, Action::kHeartbeat}},
+       4500,
+       6500,
+       true},
+      {"it stays in the list",
+       {{1000, Action::kRemoval}, {2500, Action::kHeartbeat}},
+       6000,
+       8000,
+       true},
+  };
+  for (const Row& row : rows) {
+    CheckRow(row);
+  }
+}
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -294,6 +294,9 @@
   for (json& service : services) {
     service["warmup_s"] = 3;
     service["warmup_per_s"] = cold_rate;
+    if (!health_path.empty()) {
+      service["health_path"] = health_path;
+    }
   }
   const json body{{"version", version},
                   {"services", services},
--- a/tests/router/router_deployment.h
+++ b/tests/router/router_deployment.h
@@ -115,6 +115,8 @@
   fakes::DatagramProxy& PeerProxy(std::size_t daemon) { return *peer_proxies_.at(daemon); }
   std::string FetchMetrics(std::size_t daemon);
 
+  // The path of health checks in the configurations written from now on; none if empty.
+  std::string health_path;
   // The requests per second that endpoints bear for 3 s after a start, by the configurations
   // written from now on; 0 for any rate.
   double cold_rate = 0;
