Count the grace for owned keys from when an endpoint may have begun to drain

Cause: two allowances for one bound. A daemon relies on relayed updates for up to 0.9 s of silence and 1.65 s of age, and only then did the grace of 1 s for owned keys begin: 2.3 s to 2.65 s in all. Change: drain_timing.h shares the time of 2 s out once, for endpoints with keys and without. The grace ends 1.75 s after the latest moment at which the endpoint is known not to have drained, which is when the store gave the answer behind what was known before; a daemon that learns late has so much less of it, one that learns at once has up to 1.75 s in place of 1 s. The age allowed to relayed updates follows from the same sum and stays at 1.65 s.

--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/drain_timing.h"
+
 namespace sycamorestall {
 
 namespace {
@@ -17,9 +19,6 @@
 // each consecutive failure.
 constexpr std::chrono::milliseconds kInitialBackoff{300};
 constexpr std::uint32_t kMaxBackoffDoublings = 4;
-// Endpoints must receive no requests 2 s after the store has recorded that they are
-// draining; up to 0.8 s of that pass before a daemon learns of it.
-constexpr std::chrono::milliseconds kDrainGrace{1000};
 // For how long after its removal from the list what an endpoint said is remembered. Its entry may
 // come back after an outage of the store.
 constexpr std::chrono::minutes kRemovedEndpointTimeToLive{10};
@@ -35,11 +34,11 @@
 }
 
 // Begins or ends the draining of an endpoint after its entry or what it said has changed.
-void UpdateDrainingSince(EndpointState& state, Instant now) {
+void UpdateDrainingSince(EndpointState& state, Instant earliest_drain) {
   if (!state.draining()) {
     state.draining_since.reset();
   } else if (!state.draining_since) {
-    state.draining_since = now;
+    state.draining_since = earliest_drain;
   }
 }
 
@@ -51,10 +50,10 @@
 }
 
 // Returns whether the announcement is new.
-bool AnnounceDraining(EndpointState& state, Instant now) {
+bool AnnounceDraining(EndpointState& state, Instant earliest_drain) {
   const bool is_new = !state.announced_draining;
   state.announced_draining = true;
-  UpdateDrainingSince(state, now);
+  UpdateDrainingSince(state, earliest_drain);
   return is_new;
 }
 
@@ -75,7 +74,7 @@
 }
 
 bool EndpointState::AcceptsOwnedKeys(Instant now) const {
-  const bool drained = draining_since && now - *draining_since >= kDrainGrace;
+  const bool drained = draining_since && now - *draining_since >= kOwnedKeysGrace;
   const bool evacuated = evacuation && now >= evacuation->owned_keys_until;
   return !drained && !evacuated;
 }
@@ -116,7 +115,11 @@
   state.evacuation = evacuations_.Find(entry.domain);
   state.cold_terms = services_[entry.service].cold_terms;
   AddToServiceIndex(state);
-  UpdateDrainingSince(state, now);
+  UpdateDrainingSince(state, EarliestDrain(now));
+}
+
+Instant EndpointFleet::EarliestDrain(Instant now) const {
+  return std::min(list_known_until_.value_or(now), now);
 }
 
 EndpointState EndpointFleet::MakeState(const EndpointEntry& entry, Instant now) {
@@ -159,7 +162,7 @@
     return {};
   }
   EndpointNoticeEffect effect;
-  effect.began_draining = notice.draining && AnnounceDraining(*state, now);
+  effect.began_draining = notice.draining && AnnounceDraining(*state, EarliestDrain(now));
   if (notice.pause) {
     effect.began_pause = state->PauseLeft(now) == Duration{} && *notice.pause > Duration{};
     state->paused_until = std::max(state->paused_until, now + *notice.pause);
@@ -205,7 +208,7 @@
 bool EndpointFleet::HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now) {
   EndpointState* state = FindKnown(id);
   return state != nullptr && state->entry.incarnation == incarnation &&
-         AnnounceDraining(*state, now);
+         AnnounceDraining(*state, EarliestDrain(now));
 }
 
 bool EndpointFleet::SetEvacuated(const DomainName& domain, bool evacuated, Instant now,
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -71,7 +71,7 @@
   bool announced_draining = false;
   // Until then it wants no requests from this daemon, as it said in an answer.
   Instant paused_until;
-  // Empty while the endpoint is not draining.
+  // Since when it may have been draining; empty while it is not.
   std::optional<Instant> draining_since;
   // The evacuation of its failure domain; empty if that is not evacuated.
   std::optional<Evacuation> evacuation;
@@ -112,8 +112,8 @@
   // Whether it may become the owner of keys.
   bool AcceptsNewKeys() const { return !draining() && !evacuation; }
   // Whether requests for keys that it owns may be sent to it. A draining or evacuated endpoint
-  // accepts them only for a short grace period while its keys move. The period ends
-  // even if the keys have not moved, for example because their leader has not heard
+  // accepts them only for a short grace period while its keys move (see drain_timing.h). The period
+  // ends even if the keys have not moved, for example because their leader has not heard
   // that the endpoint is draining.
   bool AcceptsOwnedKeys(Instant now) const;
   // When it is warm: in the past if it is warm already, or if it bears any rate when cold.
@@ -130,6 +130,9 @@
 // All listed endpoints, with the load and the measurements of each.
 class EndpointFleet {
  public:
+  // Notes that all changes of the list up to this time are known. An endpoint that is found to
+  // drain may have begun that at any later time.
+  void SetListKnownUntil(Instant time) { list_known_until_ = time; }
   // Adds an endpoint or replaces its entry. A new incarnation or address resets
   // the measurements and what the endpoint said about itself, but not the count of requests in
   // flight.
@@ -252,6 +255,8 @@
     Instant removed_at;
   };
 
+  // Since when an endpoint that is found to drain now may have been draining.
+  Instant EarliestDrain(Instant now) const;
   EndpointState* FindMutable(const InstanceId& id);
   // Like FindMutable, but also finds endpoints that were removed recently.
   EndpointState* FindKnown(const InstanceId& id);
@@ -274,6 +279,7 @@
   // Until when endpoints count as cold, by domain and service.
   std::map<std::pair<DomainName, ServiceName>, Instant> assumed_cold_until_;
   bool loaded_ = false;
+  std::optional<Instant> list_known_until_;
   std::map<InstanceId, EndpointState> endpoints_;
   // Kept because entries of live endpoints may lapse and come back.
   std::map<InstanceId, RemovedEndpoint> removed_;
--- a/src/router/routing_daemon_endpoints.cc
+++ b/src/router/routing_daemon_endpoints.cc
@@ -115,6 +115,9 @@
     store_silence_ended_at_ = now;
   }
   store_answered_at_ = answered_at;
+  if (store_watcher_.loaded()) {
+    fleet_.SetListKnownUntil(answered_at);
+  }
 }
 
 bool RoutingDaemon::WasStoreSilent(Instant now) const {
--- a/src/store/store_watcher.cc
+++ b/src/store/store_watcher.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "core/drain_timing.h"
+
 namespace sycamorestall {
 
 namespace {
@@ -32,11 +34,10 @@
 constexpr std::chrono::milliseconds kProbeInterval{400};
 // After a longer gap all contents are read, which is less data than all changes since.
 constexpr std::chrono::milliseconds kMaxWatchGap{4000};
-// Relayed updates no longer replace the watch if none came for kMaxUpdateSilence, or if the
-// store answer behind them is older than kMaxAnswerAge. A configuration has to take
-// effect within 2 s of its write.
+// Relayed updates no longer replace the watch if none came for this long, or if the store answer
+// behind them is older than kMaxListAge. A configuration has to take effect within 2 s of its write
+// as well.
 constexpr std::chrono::milliseconds kMaxUpdateSilence{900};
-constexpr std::chrono::milliseconds kMaxAnswerAge{1650};
 // Missing updates that will be sent again are waited for this long.
 constexpr std::chrono::milliseconds kResendWait{1200};
 // A change of the operator's that a peer knows is waited for this long.
@@ -68,7 +69,7 @@
 
 bool StoreWatcher::HasFreshUpdates(Instant now) const {
   return !watching_ && !IsChangeOverdue(now) && now - last_update_at_ < kMaxUpdateSilence &&
-         now - last_answer_at_ < kMaxAnswerAge &&
+         now - last_answer_at_ < kMaxListAge &&
          (missing_until_ <= revision_ || now < missing_updates_expected_until_);
 }
 
