Do not believe a release whose state of the keys is no text

Cause: the X-Handover of a spoiled answer went as it was into the next grant, and encoding its JSON body threw; the error dropped all actions that the leader had decided on, and the ranges waited for an order that was never sent.

--- a/tests/platform/format_test.cc
+++ b/tests/platform/format_test.cc
@@ -312,3 +312,32 @@
     CHECK(notice.malformed_load == (row.load ? "" : row.value));
   }
 }
+
+// Guards against keys that are never granted again after one spoiled answer to a release
+// (review/13).
+TEST_CASE("a release is only confirmed by an answer with a sound state of its keys") {
+  struct Row {
+    std::string name;
+    std::optional<std::string> state;
+    bool confirms;
+  };
+  const Row rows[] = {{"hexadecimal", "5c0e7a21d94b36f8", true},
+                      {"other printable text", "from soil-1~", true},
+                      {"empty", "", true},
+                      {"missing", std::nullopt, false},
+                      {"bytes that are no text", "5c0e7a21\xd9\x4b\x36\xf8", false},
+                      {"a control character", "5c0e\x01", false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    HttpAnswer answer{boost::beast::http::status::ok, 11};
+    if (row.state) {
+      answer.set("X-Handover", *row.state);
+    }
+    const platform::PlatformOrderFormat orders;
+    const OrderReply reply = orders.ParseReleaseReply(answer);
+    CHECK((reply.outcome == OrderReply::Outcome::kDone) == row.confirms);
+    CHECK(reply.handover_state == (row.confirms ? *row.state : ""));
+    const KeyGrant grant{{0, 9}, {1}, std::chrono::milliseconds{4000}, reply.handover_state};
+    CHECK_NOTHROW(orders.FormatGrant("id", InstanceId{"a"}, grant));
+  }
+}
