Register again when the entry goes during the renewal of its lease

Cause: a registration whose write came late under an earlier lease is removed with that lease while the daemon renews the present one. Change: a removal counts also during a renewal.

--- a/src/router/daemon_registry.cc
+++ b/src/router/daemon_registry.cc
@@ -132,7 +132,10 @@
 
 void DaemonRegistry::RemoveEntry(const std::string& key) {
   daemons_.erase(InstanceId{key.substr(kDaemonKeyPrefix.size())});
-  if (key == OwnEntryKey() && phase_ == Phase::kRegistered) {
+  // A write under an earlier lease may have come late and tied the entry to that lease, so that the
+  // entry goes while the present lease goes on.
+  const bool is_registered = phase_ == Phase::kRegistered || phase_ == Phase::kRenewingLease;
+  if (key == OwnEntryKey() && is_registered) {
     HandleRegistrationLost("entry removed");
   }
 }
