--- a/src/router/routing_daemon.h
+++ b/src/router/routing_daemon.h
@@ -98,7 +98,7 @@
   enum class ItemEffect { kNone, kChanged, kRemoved };
   ItemEffect ApplyItem(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
   ItemEffect ApplyEndpoint(const StoreItem& item, const StoreStateOrigin& origin, Instant now);
-  // Counts and logs an entry that was not simply applied.
+  // Counts and logs an entry whose age was in doubt.
   void LogEndpointEntry(const std::string& what, const EndpointEntry& entry, Revision revision,
                         EntryAge age);
   // Adds an endpoint to the fleet or replaces its entry. Returns whether that changed anything but
--- a/src/router/routing_daemon_endpoints.cc
+++ b/src/router/routing_daemon_endpoints.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-// After a silence of the store of this length entries of endpoints may be missing which live.
+// After a silence of the store of this length, entries of endpoints that still run may be missing.
 constexpr std::chrono::milliseconds kStoreSilence{2500};
-// For how long after a silence the store may remove them.
+// For how long after such a silence the store may go on removing them.
 constexpr std::chrono::milliseconds kLossAfterSilence{1000};
 
 }  // namespace
@@ -49,7 +49,7 @@
     return ItemEffect::kNone;
   }
   if (age == EntryAge::kCurrent) {
-    // The others of the domain may hold the same entry back.
+    // Daemons of the domain that hold an entry of the endpoint back need this one to judge it.
     const bool was_contradicted = unconfirmed_entries_.Discard(entry->id);
     const bool has_changed = ListEndpoint(*entry, item.revision, now);
     const bool may_be_awaited = unconfirmed_entries_.WasConfirmedRecently(entry->id, now);
--- a/tests/router/lost_relay_test.cc
+++ b/tests/router/lost_relay_test.cc
@@ -77,27 +77,27 @@
 // Guards against requests to an endpoint that leaves while the daemon which leads and relays the
 // store's updates is lost (review/15).
 TEST_CASE("an endpoint that leaves as the relaying daemon is lost gets no late requests") {
-  using Deed = std::function<void(RouterDeployment&)>;
+  using Event = std::function<void(RouterDeployment&)>;
   struct Row {
     std::string name;
-    Deed leave;
-    Deed lose;
+    Event leave;
+    Event lose;
   };
-  const Deed drain = [](RouterDeployment& deployment) {
+  const Event drain = [](RouterDeployment& deployment) {
     deployment.RegisterEndpoint(*deployment.soil[0], "draining");
     deployment.RegisterEndpoint(*deployment.pumps[0], "draining");
   };
-  const Deed remove = [](RouterDeployment& deployment) {
+  const Event remove = [](RouterDeployment& deployment) {
     deployment.DeregisterEndpoint(*deployment.soil[0]);
     deployment.DeregisterEndpoint(*deployment.pumps[0]);
   };
-  const Deed kill = [](RouterDeployment& deployment) {
+  const Event kill = [](RouterDeployment& deployment) {
     deployment.SendSignal(kRelayingDaemon, SIGKILL);
   };
-  const Deed freeze = [](RouterDeployment& deployment) {
+  const Event freeze = [](RouterDeployment& deployment) {
     deployment.SendSignal(kRelayingDaemon, SIGSTOP);
   };
-  const Deed cut_off = [](RouterDeployment& deployment) {
+  const Event cut_off = [](RouterDeployment& deployment) {
     deployment.StoreProxy(kRelayingDaemon).SetFault(fakes::ProxyFault::kSilent);
   };
   const Row rows[] = {{"drains, killed", drain, kill},
