Never give the same port to two daemons of a test run

Cause: the tests drew the ports of daemons at random and asked only whether one was free at that moment. The process tests drew from the ephemeral range, from which outgoing connections take ports as well.

Change: one PickFreePort for both kinds of deployments.

--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -21,6 +21,7 @@
 #include <thread>
 #include <tuple>
 
+#include "fakes/free_port.h"
 #include "http/http_client.h"
 
 extern char** environ;  // NOLINT(readability-identifier-naming)
@@ -36,13 +37,6 @@
 constexpr std::chrono::seconds kStartTimeout{15};
 constexpr std::chrono::seconds kServeTimeout{10};
 
-std::uint16_t FindFreePort() {
-  boost::asio::io_context context;
-  const boost::asio::ip::tcp::acceptor acceptor{context,
-                                                {boost::asio::ip::address_v4::loopback(), 0}};
-  return acceptor.local_endpoint().port();
-}
-
 std::string ReadFile(const std::string& path) {
   std::ifstream stream(path);
   std::ostringstream text;
@@ -212,8 +206,8 @@
 }
 
 void Deployment::WriteSettingsFile(const std::string& name, const std::string& domain) {
-  http_ports_[name] = FindFreePort();
-  processes_[name].address = "127.0.0.1:" + std::to_string(FindFreePort());
+  http_ports_[name] = fakes::PickFreePort();
+  processes_[name].address = "127.0.0.1:" + std::to_string(fakes::PickFreePort());
   std::string domains;
   for (const std::string& each : options_.domains) {
     domains += (domains.empty() ? "\"" : ", \"") + each + "\"";
--- a/tests/process/fakes_test.cc
+++ b/tests/process/fakes_test.cc
@@ -3,12 +3,14 @@
 #include <chrono>
 #include <future>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 
 #include "endpoint/order_json.h"
 #include "fakes/fake_endpoint.h"
 #include "fakes/fake_platform.h"
+#include "fakes/free_port.h"
 #include "http/http_client.h"
 
 using namespace sycamorestall;  // NOLINT
@@ -181,3 +183,13 @@
   CHECK(cold_time > 2 * measure_request());
   endpoint.Stop();
 }
+
+// Guards against deployments of which two daemons are to listen at the same port.
+TEST_CASE("free ports are not picked twice") {
+  constexpr int kPorts = 1000;
+  std::set<std::uint16_t> ports;
+  for (int i = 0; i < kPorts; ++i) {
+    ports.insert(fakes::PickFreePort());
+  }
+  CHECK(ports.size() == kPorts);
+}
--- a/tests/router/router_deployment.cc
+++ b/tests/router/router_deployment.cc
@@ -23,6 +23,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "fakes/free_port.h"
 #include "fakes/json_answer.h"
 
 extern char** environ;
@@ -59,25 +60,6 @@
   return copy != nullptr ? copy : std::string{BUILD_FOLDER} + "/sycamorestall";
 }
 
-// A free port below the ephemeral range, so that no outgoing connection takes it while a
-// daemon is down.
-std::uint16_t PickFreePort() {
-  constexpr int kFirstPort = 10'240;
-  constexpr int kLastPort = 32'000;
-  std::random_device entropy_source;
-  std::uniform_int_distribution<int> pick_port{kFirstPort, kLastPort};
-  for (;;) {
-    const auto port = static_cast<std::uint16_t>(pick_port(entropy_source));
-    asio::io_context context;
-    asio::ip::tcp::socket socket{context, asio::ip::tcp::v4()};
-    boost::system::error_code error;
-    socket.bind({asio::ip::address_v4::loopback(), port}, error);
-    if (!error) {
-      return port;
-    }
-  }
-}
-
 using Response = beast_http::response<beast_http::string_body>;
 using Request = beast_http::request<beast_http::string_body>;
 
@@ -148,10 +130,10 @@
   WriteConfig(1);
   for (int i = 0; i < daemons; ++i) {
     Daemon daemon;
-    daemon.caller_port = PickFreePort();
-    daemon.readiness_port = PickFreePort();
-    daemon.metrics_port = PickFreePort();
-    daemon.peer_port = PickFreePort();
+    daemon.caller_port = fakes::PickFreePort();
+    daemon.readiness_port = fakes::PickFreePort();
+    daemon.metrics_port = fakes::PickFreePort();
+    daemon.peer_port = fakes::PickFreePort();
     const std::string name = "d" + std::to_string(i);
     const auto number = static_cast<std::size_t>(i);
     const std::string domain = number < domains.size() ? domains[number] : "north";
