Make sure that the process tests' endpoints are registered

The answer to its registration was not looked at.

Ruled out: the daemon, which led both groups and assigned the keys of the other service within 30 ms.

Change: a registration is repeated until it is answered, for 15 s at the most; then the test says so. What the tests check is as before.

--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -23,6 +23,7 @@
 
 #include "fakes/free_port.h"
 #include "http/http_client.h"
+#include "http/status.h"
 
 extern char** environ;  // NOLINT(readability-identifier-naming)
 
@@ -239,7 +240,14 @@
                       {"service", process.service},
                       {"address", process.address},
                       {"state", state}};
-  SendRequest(http::Method::kPut, platform_origin_ + "/admin/instances/" + name, instance.dump());
+  const std::string url = platform_origin_ + "/admin/instances/" + name;
+  const auto end = Clock::now() + kStartTimeout;
+  while (SendRequest(http::Method::kPut, url, instance.dump()).status != http::kOk) {
+    if (Clock::now() >= end) {
+      throw std::runtime_error("the platform does not register " + name);
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
 }
 
 void Deployment::DeregisterInstance(const std::string& name) {
