End the grace for owned keys 1 s after a drain is known, as before

The grace counted 1.75 s from the earliest possible drain, also in daemons that had learned at once and had stopped 1 s later before it.

Change: both bounds hold, 1 s after learning and 1.75 s after the earliest drain.

--- a/src/core/drain_timing.h
+++ b/src/core/drain_timing.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
+#include "core/boot_clock.h"
+
 namespace sycamorestall {
 
 // How the time between the store's acknowledgement that an endpoint drains, or has been removed,
@@ -10,7 +13,7 @@
 //
 //   acknowledged      list at most kMaxListAge old   asks the store   sends
 //   |------------------------------------------------|----------------|-------|
-//   |---------------- kOwnedKeysGrace --------------------------------|-------|
+//   |----------------------- kMaxSendDelay ---------------------------|-------|
 //   |---------------------------- kDrainLimit --------------------------------|
 
 // No request reaches an endpoint later than this. It is the shortest limit that a deployment sets.
@@ -22,9 +25,17 @@
 // A daemon whose knowledge of the list is older than this asks the store itself.
 inline constexpr std::chrono::milliseconds kMaxListAge =
     kDrainLimit - kMaxSendTime - kMaxStoreCallTime;
-// Until then requests for keys that a draining endpoint owns are sent to it, as the keys may not
-// have moved yet. It counts from the latest moment at which the endpoint is known not to have
-// drained, however late the daemon learned of it.
-inline constexpr std::chrono::milliseconds kOwnedKeysGrace = kDrainLimit - kMaxSendTime;
+// No request is sent later than this.
+inline constexpr std::chrono::milliseconds kMaxSendDelay = kDrainLimit - kMaxSendTime;
+// For this long after a daemon has learned of a drain it sends requests for keys that the endpoint
+// owns, as these may not have moved yet.
+inline constexpr std::chrono::milliseconds kOwnedKeysGrace{1000};
+
+// Until when requests for keys that a draining endpoint owns are sent to it. `earliest_drain` is
+// the latest moment at which the endpoint is known not to have drained: a daemon that learned late
+// has less than the grace period left, or none.
+inline Instant OwnedKeysDeadline(Instant earliest_drain, Instant learned_at) {
+  return std::min<Instant>(learned_at + kOwnedKeysGrace, earliest_drain + kMaxSendDelay);
+}
 
 }  // namespace sycamorestall
--- a/src/core/endpoint_fleet.cc
+++ b/src/core/endpoint_fleet.cc
@@ -34,11 +34,11 @@
 }
 
 // Begins or ends the draining of an endpoint after its entry or what it said has changed.
-void UpdateDrainingSince(EndpointState& state, Instant earliest_drain) {
+void UpdateOwnedKeysDeadline(EndpointState& state, Instant deadline) {
   if (!state.draining()) {
-    state.draining_since.reset();
-  } else if (!state.draining_since) {
-    state.draining_since = earliest_drain;
+    state.owned_keys_deadline.reset();
+  } else if (!state.owned_keys_deadline) {
+    state.owned_keys_deadline = deadline;
   }
 }
 
@@ -50,10 +50,10 @@
 }
 
 // Returns whether the announcement is new.
-bool AnnounceDraining(EndpointState& state, Instant earliest_drain) {
+bool AnnounceDraining(EndpointState& state, Instant owned_keys_deadline) {
   const bool is_new = !state.announced_draining;
   state.announced_draining = true;
-  UpdateDrainingSince(state, earliest_drain);
+  UpdateOwnedKeysDeadline(state, owned_keys_deadline);
   return is_new;
 }
 
@@ -74,7 +74,7 @@
 }
 
 bool EndpointState::AcceptsOwnedKeys(Instant now) const {
-  const bool drained = draining_since && now - *draining_since >= kOwnedKeysGrace;
+  const bool drained = owned_keys_deadline && now >= *owned_keys_deadline;
   const bool evacuated = evacuation && now >= evacuation->owned_keys_until;
   return !drained && !evacuated;
 }
@@ -115,11 +115,12 @@
   state.evacuation = evacuations_.Find(entry.domain);
   state.cold_terms = services_[entry.service].cold_terms;
   AddToServiceIndex(state);
-  UpdateDrainingSince(state, EarliestDrain(now));
+  UpdateOwnedKeysDeadline(state, DrainDeadline(now));
 }
 
-Instant EndpointFleet::EarliestDrain(Instant now) const {
-  return std::min(list_known_until_.value_or(now), now);
+Instant EndpointFleet::DrainDeadline(Instant now) const {
+  const Instant earliest_drain = std::min(list_known_until_.value_or(now), now);
+  return OwnedKeysDeadline(earliest_drain, now);
 }
 
 EndpointState EndpointFleet::MakeState(const EndpointEntry& entry, Instant now) {
@@ -134,7 +135,7 @@
     state.assumed_cold_until = removed->second.state.assumed_cold_until;
     state.refused_at = removed->second.state.refused_at;
     state.announced_draining = removed->second.state.announced_draining;
-    state.draining_since = removed->second.state.draining_since;
+    state.owned_keys_deadline = removed->second.state.owned_keys_deadline;
     state.paused_until = removed->second.state.paused_until;
   }
   removed_.erase(entry.id);
@@ -162,7 +163,7 @@
     return {};
   }
   EndpointNoticeEffect effect;
-  effect.began_draining = notice.draining && AnnounceDraining(*state, EarliestDrain(now));
+  effect.began_draining = notice.draining && AnnounceDraining(*state, DrainDeadline(now));
   if (notice.pause) {
     effect.began_pause = state->PauseLeft(now) == Duration{} && *notice.pause > Duration{};
     state->paused_until = std::max(state->paused_until, now + *notice.pause);
@@ -208,7 +209,7 @@
 bool EndpointFleet::HandleDrainReport(const InstanceId& id, Incarnation incarnation, Instant now) {
   EndpointState* state = FindKnown(id);
   return state != nullptr && state->entry.incarnation == incarnation &&
-         AnnounceDraining(*state, EarliestDrain(now));
+         AnnounceDraining(*state, DrainDeadline(now));
 }
 
 bool EndpointFleet::SetEvacuated(const DomainName& domain, bool evacuated, Instant now,
--- a/src/core/endpoint_fleet.h
+++ b/src/core/endpoint_fleet.h
@@ -71,8 +71,8 @@
   bool announced_draining = false;
   // Until then it wants no requests from this daemon, as it said in an answer.
   Instant paused_until;
-  // Since when it may have been draining; empty while it is not.
-  std::optional<Instant> draining_since;
+  // Until when it accepts requests for its keys as it drains; empty while it does not drain.
+  std::optional<Instant> owned_keys_deadline;
   // The evacuation of its failure domain; empty if that is not evacuated.
   std::optional<Evacuation> evacuation;
   // Requests from this daemon that it runs or has queued.
@@ -255,8 +255,8 @@
     Instant removed_at;
   };
 
-  // Since when an endpoint that is found to drain now may have been draining.
-  Instant EarliestDrain(Instant now) const;
+  // Until when an endpoint that is found to drain now accepts requests for its keys.
+  Instant DrainDeadline(Instant now) const;
   EndpointState* FindMutable(const InstanceId& id);
   // Like FindMutable, but also finds endpoints that were removed recently.
   EndpointState* FindKnown(const InstanceId& id);
--- a/tests/core/drain_timing_test.cc
+++ b/tests/core/drain_timing_test.cc
@@ -68,14 +68,40 @@
     const EndpointState& endpoint = *fleet.Find(kEndpoint);
     const Instant last_send = kStart + kDrainLimit - kMaxSendTime;
     CHECK_FALSE(endpoint.AcceptsOwnedKeys(std::max(learned_at, last_send)));
-    const bool has_time_left = row.learned_ms - row.known_until_ms < kOwnedKeysGrace.count();
+    const bool has_time_left = row.learned_ms - row.known_until_ms < kMaxSendDelay.count();
     CHECK(endpoint.AcceptsOwnedKeys(learned_at) == has_time_left);
   }
 }
 
+// Guards against requests that links with a backlog delay past the limit, as their daemon knew of
+// the drain for long and still sent them (cmg-gateway-grown, scale-2).
+TEST_CASE("a daemon that learns soon of a drain sends requests for a grace period only") {
+  struct Row {
+    std::string name;
+    int known_until_ms;
+    int learned_ms;
+    // When the grace period ends.
+    int end_ms;
+  };
+  const Row rows[] = {{"at once", -5, 5, 1005},
+                      {"after a while", -20, 400, 1400},
+                      {"late", -20, 1000, 1730},
+                      {"from a list that was complete long before", -900, 5, 850}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    EndpointFleet fleet;
+    fleet.Put(MakeEntry(false), kStart - std::chrono::seconds{60});
+    fleet.SetListKnownUntil(kStart + milliseconds{row.known_until_ms});
+    fleet.Put(MakeEntry(true), kStart + milliseconds{row.learned_ms});
+    const EndpointState& endpoint = *fleet.Find(kEndpoint);
+    CHECK(endpoint.AcceptsOwnedKeys(kStart + milliseconds{row.end_ms - 1}));
+    CHECK_FALSE(endpoint.AcceptsOwnedKeys(kStart + milliseconds{row.end_ms}));
+  }
+}
+
 TEST_CASE("the parts of the time until an endpoint gets no requests add up to its limit") {
   // An endpoint without keys gets requests until the daemon has learned of the change.
   CHECK(kMaxListAge + kMaxStoreCallTime + kMaxSendTime <= kDrainLimit);
-  CHECK(kOwnedKeysGrace + kMaxSendTime <= kDrainLimit);
+  CHECK(kMaxSendDelay + kMaxSendTime <= kDrainLimit);
   CHECK(kMaxListAge > milliseconds{0});
 }
--- a/tests/core/routing_test.cc
+++ b/tests/core/routing_test.cc
@@ -384,8 +384,6 @@
     EndpointFleet fleet;
     EndpointEntry entry = MakeEndpoint("a");
     fleet.Put(entry, kStart);
-    // The longest that a daemon usually takes to learn of a drain.
-    fleet.SetListKnownUntil(kStart - milliseconds{800});
     entry.draining = row.draining;
     fleet.Put(entry, kStart);
     // Later entries of the same endpoint do not restart the grace period.
