--- a/src/core/drain_timing.h
+++ b/src/core/drain_timing.h
@@ -25,7 +25,7 @@
 // A daemon whose knowledge of the list is older than this asks the store itself.
 inline constexpr std::chrono::milliseconds kMaxListAge =
     kDrainLimit - kMaxSendTime - kMaxStoreCallTime;
-// No request is sent later than this.
+// No request is sent to the endpoint later than this after the acknowledgement.
 inline constexpr std::chrono::milliseconds kMaxSendDelay = kDrainLimit - kMaxSendTime;
 // For this long after a daemon has learned of a drain it sends requests for keys that the endpoint
 // owns, as these may not have moved yet.
--- a/src/router/health_checker.h
+++ b/src/router/health_checker.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "core/endpoint_entry.h"
 #include "net/connection_pool.h"
--- a/tests/core/drain_timing_test.cc
+++ b/tests/core/drain_timing_test.cc
@@ -73,14 +73,15 @@
   }
 }
 
-// Guards against requests that links with a backlog delay past the limit, as their daemon knew of
-// the drain for long and still sent them (cmg-gateway-grown, scale-2).
+// Guards against requests for owned keys that a daemon still sends long after it has learned of the
+// drain: on links with a backlog they arrive after the limit.
 TEST_CASE("a daemon that learns soon of a drain sends requests for a grace period only") {
   struct Row {
     std::string name;
+    // When the list was last known to be complete, when the daemon learns of the drain, and when
+    // the grace period ends, after the endpoint began to drain.
     int known_until_ms;
     int learned_ms;
-    // When the grace period ends.
     int end_ms;
   };
   const Row rows[] = {{"at once", -5, 5, 1005},
